--- /dev/null
+++ b/thorndale/__init__.py
@@ -0,0 +1,1 @@
+"""thorndale: the admission part of a proxy that stands before shared call servers."""
--- /dev/null
+++ b/thorndale/adapter/door.py
@@ -0,0 +1,184 @@
+"""The door of one instance: wire ids to small indices and back, milliseconds to whole microseconds, wire names to ours.
+
+Indices of calls are used again once a call is over and none of its seizures is out.
+"""
+from thorndale import interface as ours
+from thorndale.adapter import frames as f
+
+STATES = {"SERVING": ours.SERVING, "DRAINING": ours.DRAINING, "DELETED": ours.GONE}
+OUTCOMES = {"completed": ours.COMPLETED, "errored": ours.BUSY, "saturated": ours.FULL, "overdue": ours.TIMED_OUT,
+            "refused_conn": ours.UNREACHABLE, "severed": ours.RESET, "recalled": ours.CANCELLED,
+            "superseded": ours.NOT_SENT}
+
+
+def _listed(info, path, parse, default=None):
+    """path.N.leaf for every N; a leaf left out takes the default."""
+    base, leaf = path.split("[].")
+    count = f.maybe(info, f"{base}.count", f.whole, 0)
+    if default is None:
+        return [f.need(info, f"{base}.{n}.{leaf}", parse) for n in range(count)]
+    return [f.maybe(info, f"{base}.{n}.{leaf}", parse, default) for n in range(count)]
+
+
+def settings(info):
+    """The wire's settings under our names, as one plain map; a needed one that is missing is named."""
+    pools = f.maybe(info, "familyInfo.skilledPools.count", f.whole, 0)
+    return {
+        "tick_us": f.need(info, "tickMs", f.micros),
+        "instances": f.need(info, "nInstances", f.whole),
+        "type_target_us": _listed(info, "classes[].goalTimeMs", f.micros),
+        "type_guard_us": _listed(info, "classes[].giveUpMs", f.micros),
+        "type_revenue": _listed(info, "classes[].worth", f.number),
+        "type_late_part": _listed(info, "classes[].lateWorth", f.number, 0.0),
+        "type_pools": [[f.whole("familyInfo.skilledPools", p) for p in
+                        info.get(f"familyInfo.skilledPools.{n}", "").split(",") if p] for n in range(pools)],
+        "client_quota": _listed(info, "tenants[].quotaPerS", f.number),
+        "over_quota_part": f.maybe(info, "overShareWorth", f.number, 1.0),
+        "release_us": f.need(info, "familyInfo.guardMs", f.micros),
+        "resend_us": f.maybe(info, "familyInfo.repeatMs", f.micros, 0),
+        "seizures_max": f.need(info, "ceilings.sendCap", f.whole),
+        "open_max": f.need(info, "ceilings.mostHeld", f.whole),
+        "may_cancel": f.maybe(info, "ceilings.mayCancel", f.flag, False),
+        "comeback_told": f.maybe(info, "ceilings.retryAfter", f.flag, False),
+        "comeback_max_us": f.maybe(info, "ceilings.maxRetryAfterMs", f.micros, 0),
+        "drain_grace_us": f.need(info, "rules.drainGraceMs", f.micros),
+        "start_capacity": f.need(info, "rules.startCapacity", f.number),
+        "warm_up_us": f.need(info, "rules.warmUpMs", f.micros),
+        "fall_multiple": f.need(info, "rules.fallMultiple", f.number),
+        "fall_us": f.need(info, "rules.fallMs", f.micros),
+        "list_asked": info.get("discovery") == "subscribe",
+    }
+
+
+class Door:
+    def __init__(self):
+        self.servers, self.server_ids = {}, []
+        self.calls, self.call_ids, self.spare = {}, [], []
+        self.out, self.over = [], []
+
+    def server(self, wire_id):
+        index = self.servers.get(wire_id)
+        if index is None:
+            index = self.servers[wire_id] = len(self.server_ids)
+            self.server_ids.append(wire_id)
+        return index
+
+    def _settle(self, index):
+        if self.over[index] and not self.out[index]:
+            del self.calls[self.call_ids[index]]
+            self.call_ids[index] = None
+            self.spare.append(index)
+
+    def _over(self, index):
+        self.over[index] = True
+        self._settle(index)
+
+    def report(self, text):
+        found = f.pairs("stats", text)
+        told = {k: v for k, v in found.items() if v >= 0}
+        wait = told.get("latency_ms")
+        return ours.Report(told.get("idle"), told.get("circuits"),
+                           None if wait is None else round(wait * 1000), told.get("max_rate"))
+
+    def event(self, name, fields, lists):
+        """The event for the module, or None where there is nothing for it."""
+        if name == "DEMAND":
+            tid = f.need(fields, "tid", f.whole)
+            if tid in self.calls:
+                raise f.BadInput(f"call {tid} was given before")
+            if self.spare:
+                index = self.spare.pop()
+                self.call_ids[index], self.out[index], self.over[index] = tid, 0, False
+            else:
+                index = len(self.call_ids)
+                self.call_ids.append(tid)
+                self.out.append(0)
+                self.over.append(False)
+            self.calls[tid] = index
+            return ours.Call(index, f.need(fields, "priority", f.whole), f.maybe(fields, "realm", f.whole, 0),
+                             f.maybe(fields, "nameKey", f.hexkey, 0), f.need(fields, "leftMs", f.micros),
+                             f.need(fields, "dest", f.whole), f.maybe(fields, "repeat", f.flag, False),
+                             f.maybe(fields, "again", f.flag, False))
+        if name in ("UNDER_WAY", "RESOLVED"):
+            index = self.calls.get(f.need(fields, "tid", f.whole))
+            seizure = f.need(fields, "copy", f.whole)
+            server = self.server(f.need(fields, "server", f.whole))
+            lag = f.need(fields, "lagMs", f.micros)
+            if name == "UNDER_WAY":
+                return None if index is None else ours.Stood(index, seizure, server, lag)
+            code = f.need(fields, "code", f.string)
+            if code not in OUTCOMES:
+                raise f.BadInput(f"unknown outcome code {code[:40]!r}")
+            cause = f.maybe(fields, "clearCode", f.whole, 0)
+            final = f.maybe(fields, "doneFlag", f.flag, False)
+            report = self.report(fields["stats"]) if "stats" in fields else None
+            if index is None:
+                return None
+            self.out[index] -= 1
+            wait = (cause >> 4) * 1000 if code == "saturated" and cause & 15 == 3 else 0
+            event = ours.Ended(index, seizure, server, OUTCOMES[code], wait, lag, final, report)
+            if final:
+                self.over[index] = True
+            return event
+        if name == "VANISHED":
+            index = self.calls.get(f.need(fields, "tid", f.whole))
+            return None if index is None else ours.Left(index)
+        if name == "DEADLINE_HIT":
+            return ours.Due(f.need(fields, "ctx", f.whole))
+        if name == "SAMPLED":
+            server = f.need(fields, "server", f.whole)
+            code = f.need(fields, "code", f.string)
+            lag = f.maybe(fields, "lagMs", f.micros, 0)
+            if server not in self.servers or code != "completed" or "stats" not in fields:
+                return None
+            return ours.Seen(self.servers[server], self.report(fields["stats"]), lag > 0)
+        if name == "UPDATE":
+            form = f.need(fields, "form", f.string)
+            if form == "error":
+                return ours.ListFailed()
+            if form not in ("diff", "snapshot", "disk"):
+                raise f.BadInput(f"unknown form of list {form[:40]!r}")
+            ref = f.need(fields, "ref", f.whole)
+            if ref not in lists:
+                raise f.BadInput(f"list {ref} was never defined")
+            entries = tuple(ours.Server(self.server(s), pool, state, started) for s, pool, state, started in lists[ref])
+            return ours.Servers(entries, form != "diff", form == "disk")
+        if name == "MEMO":
+            return ours.Told(f.need(fields, "srcPeer", f.whole), f.need(fields, "bytes", f.octets))
+        raise f.BadInput(f"unknown event {name[:40]!r}")
+
+    def after(self, event):
+        """Called when the module has had the batch: forget what is over."""
+        if type(event) is ours.Left:
+            self.over[event.call] = True
+        if type(event) in (ours.Left, ours.Ended) and self.call_ids[event.call] is not None:
+            self._settle(event.call)
+
+    def line(self, proxy, action):
+        kind = type(action)
+        if kind is ours.Seize:
+            self.out[action.call] += 1
+            return f.line("DELIVER", proxy=proxy, tid=self.call_ids[action.call],
+                          server=self.server_ids[action.server], timeoutMs=f.ms(action.timeout_us))
+        if kind is ours.SetTimer:
+            return f.line("REMIND", proxy=proxy, momentMs=f.ms(action.at_us), ctx=action.token)
+        if kind is ours.Log:
+            return f.line("NOTE_DOWN", proxy=proxy, reasonText=action.text)
+        if kind is ours.Follow:
+            return f.line("FOLLOW", proxy=proxy, active=1)
+        tid = self.call_ids[action.call]
+        if kind is ours.Cancel:
+            return f.line("CANCEL", proxy=proxy, tid=tid, copy=action.seizure)
+        self._over(action.call)
+        if kind is ours.Reject:
+            return f.line("SAY_NO", proxy=proxy, tid=tid, backoffMs=f.ms(action.comeback_us))
+        return f.line("ABORT", proxy=proxy, tid=tid)
+
+
+def entry(fields):
+    """One ITEM of a DEFINE_LIST: server, pool, state, start."""
+    state = f.need(fields, "lifecycle", f.string)
+    if state not in STATES:
+        raise f.BadInput(f"unknown lifecycle {state[:40]!r}")
+    return (f.need(fields, "server", f.whole), f.need(fields, "nodeNo", f.whole), STATES[state],
+            f.maybe(fields, "startedAtMs", f.micros, 0))
--- /dev/null
+++ b/thorndale/interface.py
@@ -0,0 +1,128 @@
+"""What goes into the decision module and what comes out of it. Types only, no logic, no wire.
+
+Times are whole microseconds on the caller's clock, which only ever advances. Calls, servers, call types and
+clients are small indices given out by whoever hosts the module. `None` stands for 'not told'.
+"""
+from typing import NamedTuple, Optional
+
+# States of a server in the list.
+SERVING, DRAINING, GONE = 0, 1, 2
+
+# How a seizure ended.
+COMPLETED, BUSY, FULL, TIMED_OUT, UNREACHABLE, RESET, CANCELLED, NOT_SENT = range(8)
+
+
+class Server(NamedTuple):
+    """One entry of the list of servers."""
+    server: int
+    pool: int
+    state: int
+    started_us: int  # 0: long ago
+
+
+class Report(NamedTuple):
+    """What a server said of itself; None where it said nothing."""
+    free: Optional[float]
+    lines: Optional[float]
+    wait_us: Optional[int]
+    rate: Optional[float]  # new set-ups a second that it can take from all proxies
+
+
+class Servers(NamedTuple):
+    """The list, whole or as changes. `disk` marks the copy kept over a restart."""
+    entries: tuple
+    whole: bool
+    disk: bool
+
+
+class ListFailed(NamedTuple):
+    """Asking for the list has failed; what was known stays in force."""
+
+
+class Call(NamedTuple):
+    """A call was handed to this proxy, which owes it one final answer within left_us."""
+    call: int
+    call_type: int
+    client: int
+    key: int
+    left_us: int
+    pool: int  # first choice
+    redial: bool
+    again: bool  # it stood and was cut, and comes once more
+
+
+class Stood(NamedTuple):
+    call: int
+    seizure: int
+    server: int
+    lag_us: int
+
+
+class Ended(NamedTuple):
+    """The one end of a seizure. `final`: the call has its answer already."""
+    call: int
+    seizure: int
+    server: int
+    outcome: int
+    wait_us: int  # a wait named by a full processor, else 0
+    lag_us: int
+    final: bool
+    report: Optional[Report]
+
+
+class Left(NamedTuple):
+    """The caller has left; nothing more is owed."""
+    call: int
+
+
+class Due(NamedTuple):
+    """A timer has fallen due."""
+    token: int
+
+
+class Seen(NamedTuple):
+    """A report that came outside a seizure."""
+    server: int
+    report: Report
+    asked: bool
+
+
+class Told(NamedTuple):
+    """A message from another proxy."""
+    peer: int
+    data: bytes
+
+
+class Seize(NamedTuple):
+    call: int
+    server: int
+    timeout_us: int
+
+
+class Cancel(NamedTuple):
+    call: int
+    seizure: int
+
+
+class Reject(NamedTuple):
+    """Final answer: turned away, to come back after comeback_us (0: nothing said)."""
+    call: int
+    comeback_us: int
+
+
+class Fail(NamedTuple):
+    """Final answer: given up."""
+    call: int
+
+
+class SetTimer(NamedTuple):
+    at_us: int
+    token: int
+
+
+class Log(NamedTuple):
+    text: str
+
+
+class Follow(NamedTuple):
+    """Ask for the list's changes from now on, where they do not come unasked."""
--- /dev/null
+++ b/thorndale/policy.py
@@ -0,0 +1,388 @@
+"""The decisions of one proxy: which call is seized where, when it waits, and when it is given back.
+
+How to call it: Proxy(seed, settings), then for each batch handle(now_us, events), which returns the actions to
+carry out in that order. The events and actions are the types of thorndale/interface.py; the settings are one plain
+map of names to values (the adapter's door lists the names). Nothing is shared between two Proxy objects.
+
+How it is built: events change what is known; _plan sets the wanted state of each touched call; _emit, alone, works
+out the difference between the wanted and the present state and returns it as actions. See docs/design.md.
+"""
+from heapq import heappop, heappush
+from math import log
+
+from thorndale import interface as io
+
+# All constants. us = microseconds.
+SLOTS = 10  # slots of the sliding window: the design's
+SLOT_US = 1_000_000  # us a slot, so that the window is the design's 10 s
+RETRY_SHARE = 0.1  # retries per first set-up in the window: the design's
+RETRY_FLOOR = 3  # retries that are always within the budget: the design's
+SEIZURES = 3  # seizures a call, the first included: the design's
+WAIT_BASE_US = 50_000  # us, most of the first wait, doubled per earlier retry: the design's
+WAIT_MOST_US = 2_000_000  # us, most of any wait: the design's
+SKIP_US = 1_000_000  # us that a server which was full or timed out is skipped: the design's
+TICKS_SPARE = 2  # ticks before the caller gives up at which the final answer is due: one may be under way
+PRESS_LOW = 0.6  # share of the limit, times a call's standing (0 to 1), from which some calls are turned away
+PRESS_SPAN = 0.4  # share of the limit over which the turning away grows from none to all; wide, or it swings
+DRAIN_RATE = 0.5  # us a us by which an estimate ages: a processor left alone sheds 1, others still send to it
+MEAN_PART = 0.02  # weight of a call in the mean revenue: some 50 calls, a few seconds of one proxy
+BAD_ODDS, GOOD_ODDS = 0.5, 0.02  # chance of a lost seizure at a failed and at a sound server: far apart
+FAILED_AT = 4.0  # log odds that call a server failed: two losses with no answer between
+SCORE_MOST = 8.0  # log odds kept at most, so that some dozen answers clear any server
+TRIAL_US = 1_000_000  # us between trials of a failed server: a tenth of the window
+COLD_DEPTH = 1.0  # set-ups that a cold server may be sent at once beyond the pace: the least whole one
+FRESH_OUT = 2  # seizures out at a server that has not yet answered this proxy: the next goes when one stands
+
+
+class Held:
+    """A call that this proxy owes an answer."""
+    __slots__ = ("call", "kind", "client", "pool", "redial", "revenue", "came", "last", "sent", "out", "server",
+                 "failed_at", "resume", "release", "stood", "want", "arg")
+
+    def __init__(self, event, now):
+        self.call, self.kind, self.client, self.pool = event.call, event.call_type, event.client, event.pool
+        self.redial = event.redial or event.again
+        self.came, self.last = now, now + event.left_us
+        self.sent, self.out, self.server, self.failed_at = 0, -1, -1, -1
+        self.resume = self.release = 0
+        self.revenue, self.stood = 0.0, False
+        self.want, self.arg = "new", 0
+
+
+class Proxy:
+    def __init__(self, seed, settings):
+        self.settings, self.now, self.chance = settings, 0, seed & (1 << 64) - 1
+        self.calls, self.touched, self.notes = {}, [], []
+        self.alarms, self.armed, self.serial = [], 0, 0
+        # Figures about servers, each a list under the server's index.
+        self.state, self.pool, self.started, self.skip_until = [], [], [], []
+        self.firsts, self.retries, self.stands, self.slot = [], [], [], []  # the window's slots, and the last one's number
+        self.out, self.wait, self.wait_at, self.score, self.trial_at = [], [], [], [], []
+        self.proven, self.rate, self.tokens, self.tokens_at, self.free = [], [], [], [], []
+        self.by_pool = {}
+        self.mean_revenue = 0.0
+        self.quota, self.quota_at = [1.0] * len(settings["client_quota"]), 0
+        self.list_wanted = settings["list_asked"]
+        targets = settings["type_target_us"] + ([settings["resend_us"]] if settings["resend_us"] else [])
+        self.limit = min(targets, default=0)
+        self.on = {io.Servers: self._servers, io.Call: self._call, io.Stood: self._stood, io.Ended: self._ended,
+                   io.Left: self._left, io.Seen: self._seen, io.ListFailed: self._list_failed}
+
+    def handle(self, now, events):
+        self.now = now
+        for event in events:
+            handler = self.on.get(type(event))
+            if handler:
+                handler(event)
+        while self.alarms and self.alarms[0][0] <= now:
+            self.touched.append(heappop(self.alarms)[2])
+        for held in self.touched:
+            if self.calls.get(held.call) is held:
+                self._plan(held)
+        return self._emit()
+
+    # ---- what is known -------------------------------------------------------------------------------------------
+
+    def _chance(self):
+        """A linear congruential generator; its high bits as a share from 0 to 1."""
+        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
+        return (self.chance >> 40) / (1 << 24)
+
+    def _grow(self, server):
+        while len(self.state) <= server:
+            for figures, first in ((self.state, io.GONE), (self.pool, -1), (self.started, 0), (self.skip_until, 0),
+                                   (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.score, 0.0),
+                                   (self.trial_at, 0), (self.proven, False), (self.rate, None), (self.tokens, 0.0),
+                                   (self.tokens_at, 0), (self.free, None)):
+                figures.append(first)
+            for figures in (self.firsts, self.retries, self.stands):
+                figures.append([0] * SLOTS)
+            self.out.append({})
+
+    def _servers(self, event):
+        seen = set()
+        for entry in event.entries:
+            s = entry.server
+            self._grow(s)
+            seen.add(s)
+            if entry.started_us != self.started[s] and entry.state == io.SERVING:
+                # A new process: what was learned of the old one is void, and it may be cold.
+                self.started[s], self.score[s], self.proven[s] = entry.started_us, 0.0, False
+                self.tokens[s], self.tokens_at[s], self.wait[s] = COLD_DEPTH, self.now, 0
+            self._state(s, entry.state)
+            self.pool[s] = entry.pool
+        if event.whole:
+            for s in range(len(self.state)):
+                if s not in seen:
+                    self._state(s, io.GONE)
+        self.by_pool = {}
+        for s, state in enumerate(self.state):
+            if state == io.SERVING:
+                self.by_pool.setdefault(self.pool[s], []).append(s)
+
+    def _state(self, s, state):
+        if self.state[s] != state:
+            self.state[s] = state
+            self.notes.append(f"server {s}: {('serving', 'draining', 'gone')[state]} by the list")
+
+    def _list_failed(self, event):
+        self.list_wanted = True
+
+    def _seen(self, event):
+        self._grow(event.server)
+        self._report(event.server, event.report)
+
+    def _report(self, s, report):
+        if report.free is not None:
+            self.free[s] = report.free
+        if report.rate:
+            self.rate[s] = report.rate
+
+    def _observe(self, s, wait):
+        self.wait[s], self.wait_at[s] = wait, self.now
+
+    def _outcome(self, s, lost):
+        """Sequential test (CUSUM of log odds) on outcomes; guards against a server that takes set-ups and loses them,
+        whatever the cause: dead, hung, unreachable. It harms where losses come from the network alone."""
+        was = self.score[s] >= FAILED_AT
+        step = log(BAD_ODDS / GOOD_ODDS) if lost else log((1 - BAD_ODDS) / (1 - GOOD_ODDS))
+        self.score[s] = min(SCORE_MOST, max(0.0, self.score[s] + step))
+        if not lost and was:
+            self.score[s] = 0.0  # a failed server that answers a trial is back
+        if (self.score[s] >= FAILED_AT) != was:
+            self.notes.append(f"server {s}: {'sound again, it answers' if was else 'failed, seizures are lost'}")
+
+    def _call(self, event):
+        held = Held(event, self.now)
+        kind, settings = event.call_type, self.settings
+        if len(self.calls) + 1 >= settings["open_max"]:
+            held.want = "reject"
+        revenue = settings["type_revenue"][kind]
+        if event.redial:
+            revenue *= settings["type_late_part"][kind]
+        if self.quota and not self._within_quota(event.client):
+            revenue *= settings["over_quota_part"]
+        self.mean_revenue += (revenue - self.mean_revenue) * (MEAN_PART if self.mean_revenue else 1.0)
+        held.revenue = revenue
+        self.calls[event.call] = held
+        self.touched.append(held)
+        spare = TICKS_SPARE * settings["tick_us"]
+        held.last = max(self.now, held.last - spare)
+        self._alarm(held.last, held)
+
+    def _within_quota(self, client):
+        """This proxy's part of a client's quota, as a bucket one second deep."""
+        quotas, n = self.settings["client_quota"], max(1, self.settings["instances"])
+        passed, self.quota_at = self.now - self.quota_at, self.now
+        for c, quota in enumerate(quotas):
+            self.quota[c] = min(max(1.0, quota / n), self.quota[c] + quota / n * passed / 1e6)
+        if client >= len(quotas) or self.quota[client] < 1.0:
+            return client >= len(quotas)
+        self.quota[client] -= 1.0
+        return True
+
+    def _stood(self, event):
+        s = event.server
+        self.out[s].pop(event.call, None)
+        self._observe(s, event.lag_us)
+        self._outcome(s, False)
+        self.proven[s] = True
+        self._count(self.stands, s)
+        held = self.calls.get(event.call)
+        if held and held.out == event.seizure:
+            held.stood = True
+
+    def _ended(self, event):
+        s, held = event.server, self.calls.get(event.call)
+        sent_at = self.out[s].pop(event.call, None)
+        if event.report:
+            self._report(s, event.report)
+        if event.outcome in (io.TIMED_OUT, io.RESET, io.UNREACHABLE):
+            self._outcome(s, True)
+        if event.outcome == io.TIMED_OUT or event.outcome == io.CANCELLED and sent_at is not None:
+            self._observe(s, max(self._wait(s), event.lag_us))
+        if event.outcome == io.FULL:
+            self._observe(s, max(self._wait(s), event.wait_us, self.limit))
+        if event.outcome in (io.FULL, io.TIMED_OUT):
+            self.skip_until[s] = self.now + SKIP_US
+        if held is None or held.out != event.seizure:
+            return
+        if event.final:
+            del self.calls[event.call]
+            return
+        held.out, held.stood, held.failed_at = -1, False, s
+        if event.outcome in (io.TIMED_OUT, io.RESET, io.CANCELLED):
+            held.release = self.now + self.settings["release_us"]
+        held.want = "fail" if event.outcome in (io.COMPLETED, io.BUSY) else "again"
+        self.touched.append(held)
+
+    def _left(self, event):
+        held = self.calls.pop(event.call, None)
+        if held and held.out >= 0:
+            self.out[held.server].pop(held.call, None)
+
+    # ---- the retry budget (the design's) ---------------------------------------------------------------------------
+
+    def _roll(self, s):
+        """Empty the slots of server s that have left the window."""
+        slot = self.now // SLOT_US
+        for passed in range(min(SLOTS, slot - self.slot[s])):
+            at = (slot - passed) % SLOTS
+            self.firsts[s][at] = self.retries[s][at] = self.stands[s][at] = 0
+        self.slot[s] = slot
+        return slot % SLOTS
+
+    def _count(self, figures, s):
+        figures[s][self._roll(s)] += 1
+
+    def _grant(self, s):
+        """One more retry to server s: within the larger of the floor and the share of first set-ups."""
+        at = self._roll(s)
+        if sum(self.retries[s]) + 1 > max(RETRY_FLOOR, RETRY_SHARE * sum(self.firsts[s])):
+            return False
+        self.retries[s][at] += 1
+        return True
+
+    # ---- routing and admission -------------------------------------------------------------------------------------
+
+    def _wait(self, s):
+        """The wait that a new set-up would meet: the last seen, aged, and at least what the oldest one out has waited."""
+        aged = self.wait[s] - int((self.now - self.wait_at[s]) * DRAIN_RATE)
+        oldest = next(iter(self.out[s].values()), self.now)
+        return max(0, aged, self.now - oldest)
+
+    def _cold(self, s):
+        return 0 < self.started[s] and self.now < self.started[s] + self.settings["warm_up_us"]
+
+    def _pace(self, s):
+        """Set-ups a second that this proxy may send to cold server s: its own part of what a warm server takes (its
+        own answered set-ups per warm server, so that all parts add up to no more), less what is missing for warm."""
+        warm = [w for w in range(len(self.state)) if self.state[w] == io.SERVING and not self._cold(w)]
+        for w in warm:
+            self._roll(w)
+        own = sum(sum(self.stands[w]) for w in warm) / max(1, len(warm)) / (SLOTS * SLOT_US / 1e6)
+        rates = [self.rate[w] for w in warm if self.rate[w]]
+        if rates:
+            own = max(rates) / max(1, self.settings["instances"])
+        start = self.settings["start_capacity"]
+        return own * (start + (1 - start) * (self.now - self.started[s]) / self.settings["warm_up_us"])
+
+    def _has_room(self, s):
+        """Whether the guards let a set-up go to server s now; press apart."""
+        out = len(self.out[s])
+        if self._cold(s):
+            pace = self._pace(s)
+            self.tokens[s] = min(COLD_DEPTH, self.tokens[s] + (self.now - self.tokens_at[s]) * pace / 1e6)
+            self.tokens_at[s] = self.now
+            if self.tokens[s] < 1.0 and (out or self.now < self.trial_at[s] + TRIAL_US):
+                return False
+        if self.score[s] >= FAILED_AT and (out or self.now < self.trial_at[s] + TRIAL_US):
+            return False
+        return self.proven[s] or out < FRESH_OUT
+
+    def _route(self, held, avoid=-1):
+        """First choice unless skipped, told empty or barred by a guard, else the other pools in turn; -1: none."""
+        pools = self.settings["type_pools"]
+        allowed = pools[held.kind] if held.kind < len(pools) else list(self.by_pool)
+        turn = [held.pool] + [p for p in allowed if p > held.pool] + [p for p in allowed if p < held.pool]
+        servers = [s for p in turn for s in self.by_pool.get(p, ())]
+        open_ = [s for s in servers if self._has_room(s)]
+        fit = [s for s in open_ if s != avoid and self.skip_until[s] <= self.now and self.free[s] != 0]
+        for s in fit:
+            if self._wait(s) <= self.limit * PRESS_LOW / 2:
+                return s
+        if fit:
+            return min(fit, key=self._wait)
+        return open_[0] if open_ else -1
+
+    def _pressed(self, held, s):
+        """Whether the call is turned away: the wait leaves too little of the setup target. Those with least revenue
+        against the mean go first, a growing share of them, so that proxies which see the same do not swing together."""
+        standing = held.revenue / (held.revenue + self.mean_revenue) if held.revenue > 0 else 0.0
+        low = PRESS_LOW * standing
+        return self._chance() * PRESS_SPAN < self._wait(s) / max(1, self.limit) - low
+
+    def _plan(self, held):
+        """Sets the wanted state of a call that something has happened to."""
+        if held.want in ("reject", "fail"):
+            return
+        if held.stood:
+            held.want = "keep"
+        elif self.now >= held.last:
+            held.want = "fail"
+        elif held.out >= 0:
+            held.want = "keep"
+        elif held.want == "new":
+            s = self._route(held)
+            if s < 0 or self._pressed(held, s):
+                held.want = "reject"
+            else:
+                if not held.redial:
+                    self._count(self.firsts, s)
+                held.want, held.arg = "seize", s
+                self._reserve(held, s)
+        elif held.want == "again":
+            s = self._route(held, held.failed_at)
+            most = min(SEIZURES, self.settings["seizures_max"])
+            if held.sent >= most or s < 0 or not self._grant(s):
+                held.want = "reject"
+                return
+            most = min(WAIT_MOST_US, WAIT_BASE_US << held.sent - 1)
+            resume = max(self.now + int(self._chance() * most), held.release)
+            if resume >= held.last:
+                held.want = "reject"
+            else:
+                held.want, held.arg, held.resume = "wait", s, resume
+                self._alarm(resume, held)
+        elif held.want == "wait" and self.now >= held.resume:
+            s = held.arg
+            if self.state[s] != io.SERVING or not self._has_room(s):
+                held.want = "reject"
+            else:
+                held.want = "seize"
+                self._reserve(held, s)
+
+    def _reserve(self, held, s):
+        self.out[s][held.call] = self.now
+        if self._cold(s):
+            self.tokens[s] = max(0.0, self.tokens[s] - 1.0)
+        if self._cold(s) or self.score[s] >= FAILED_AT:
+            self.trial_at[s] = self.now
+
+    def _alarm(self, at, held):
+        self.serial += 1
+        heappush(self.alarms, (at, self.serial, held))
+
+    # ---- the one place that acts -----------------------------------------------------------------------------------
+
+    def _emit(self):
+        """Works out the difference between the wanted and the present state, and emits it."""
+        actions = [io.Log(text) for text in self.notes]
+        if self.list_wanted:
+            actions.append(io.Follow())
+        for held in self.touched:
+            if self.calls.get(held.call) is not held:
+                continue
+            if held.want == "seize" and held.out < 0:
+                actions.append(io.Seize(held.call, held.arg, held.last - self.now))
+                held.out, held.server, held.want = held.sent, held.arg, "keep"
+                held.sent += 1
+            elif held.want in ("reject", "fail"):
+                if held.out >= 0 and self.settings["may_cancel"]:
+                    actions.append(io.Cancel(held.call, held.out))
+                if held.want == "fail":
+                    actions.append(io.Fail(held.call))
+                else:
+                    actions.append(io.Reject(held.call, self._comeback()))
+                del self.calls[held.call]
+        self.touched, self.notes, self.list_wanted = [], [], False
+        if self.alarms and (self.armed <= self.now or self.alarms[0][0] < self.armed):
+            self.armed = max(self.alarms[0][0], self.now + 1)
+            actions.append(io.SetTimer(self.armed, 0))
+        return actions
+
+    def _comeback(self):
+        """When a caller should come back: after the longest time that callers heed, spread over its second half."""
+        if not self.settings["comeback_told"]:
+            return 0
+        return int(self.settings["comeback_max_us"] * (1 + self._chance()) / 2)
