--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -202,7 +202,7 @@
         if event.outcome == io.TIMED_OUT or event.outcome == io.CANCELLED and sent_at is not None:
             self._observe(s, max(self._wait(s), event.lag_us))
         if event.outcome == io.FULL:
-            self._observe(s, max(self._wait(s), event.wait_us, self.limit))
+            self._observe(s, max(self._wait(s), event.wait_us, 2 * self.limit))
         if event.outcome in (io.FULL, io.TIMED_OUT):
             self.skip_until[s] = self.now + SKIP_US
         if held is None or held.out != event.seizure:
