--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -7,6 +7,7 @@
 How it is built: events change what is known; _plan sets the wanted state of each touched call; _emit, alone, works
 out the difference between the wanted and the present state and returns it as actions. See docs/design.md.
 """
+from collections import deque
 from heapq import heappop, heappush
 from math import log
 
@@ -36,12 +37,12 @@
 
 class Held:
     """A call that this proxy owes an answer."""
-    __slots__ = ("call", "kind", "client", "pool", "redial", "revenue", "came", "last", "sent", "out", "server",
+    __slots__ = ("call", "kind", "client", "pool", "key", "redial", "revenue", "came", "last", "sent", "out", "server",
                  "failed_at", "resume", "release", "stood", "want", "arg")
 
     def __init__(self, event, now):
         self.call, self.kind, self.client, self.pool = event.call, event.call_type, event.client, event.pool
-        self.redial = event.redial or event.again
+        self.key, self.redial = event.key, event.redial or event.again
         self.came, self.last = now, now + event.left_us
         self.sent, self.out, self.server, self.failed_at = 0, -1, -1, -1
         self.resume = self.release = 0
@@ -53,6 +54,7 @@
     def __init__(self, seed, settings):
         self.settings, self.now, self.chance = settings, 0, seed & (1 << 64) - 1
         self.calls, self.touched, self.notes = {}, [], []
+        self.given_up, self.given_up_at = {}, deque()  # key: when the call first came; (when to forget, key)
         self.alarms, self.armed, self.serial = [], 0, 0
         # Figures about servers, each a list under the server's index.
         self.state, self.pool, self.started, self.skip_until = [], [], [], []
@@ -158,7 +160,12 @@
         if len(self.calls) + 1 >= settings["open_max"]:
             held.want = "reject"
         revenue = settings["type_revenue"][kind]
-        if event.redial:
+        while self.given_up_at and self.given_up_at[0][0] <= self.now:
+            self.given_up.pop(self.given_up_at.popleft()[1], None)
+        if event.key in self.given_up and not event.again:
+            held.redial, held.came = True, self.given_up[event.key]
+        if held.redial and not event.again and (held.came == self.now or
+                                                self.now >= held.came + settings["type_target_us"][kind]):
             revenue *= settings["type_late_part"][kind]
         if self.quota and not self._within_quota(event.client):
             revenue *= settings["over_quota_part"]
@@ -218,8 +225,18 @@
 
     def _left(self, event):
         held = self.calls.pop(event.call, None)
-        if held and held.out >= 0:
-            self.out[held.server].pop(held.call, None)
+        if held:
+            self._remember(held)
+            if held.out >= 0:
+                self.out[held.server].pop(held.call, None)
+
+    def _remember(self, held):
+        """Keeps the key of a call given back, so that a redial without a flag is known for what it is: else redials
+        of cut or rejected calls come as first set-ups, widen the budget and take the place of calls still in time."""
+        if held.key and held.key not in self.given_up:
+            self.given_up[held.key] = held.came
+            guard = self.settings["type_guard_us"][held.kind]
+            self.given_up_at.append((held.came + guard, held.key))
 
     # ---- the retry budget (the design's) ---------------------------------------------------------------------------
 
@@ -375,6 +392,7 @@
                 else:
                     actions.append(io.Reject(held.call, self._comeback()))
                 del self.calls[held.call]
+                self._remember(held)
         self.touched, self.notes, self.list_wanted = [], [], False
         if self.alarms and (self.armed <= self.now or self.alarms[0][0] < self.armed):
             self.armed = max(self.alarms[0][0], self.now + 1)
