--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -164,8 +164,7 @@
             self.given_up.pop(self.given_up_at.popleft()[1], None)
         if event.key in self.given_up and not event.again:
             held.redial, held.came = True, self.given_up[event.key]
-        if held.redial and not event.again and (held.came == self.now or
-                                                self.now >= held.came + settings["type_target_us"][kind]):
+        if held.redial and not event.again:
             revenue *= settings["type_late_part"][kind]
         if self.quota and not self._within_quota(event.client):
             revenue *= settings["over_quota_part"]
