--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -23,8 +23,9 @@
 WAIT_MOST_US = 2_000_000  # us, most of any wait: the design's
 SKIP_US = 1_000_000  # us that a server which was full or timed out is skipped: the design's
 TICKS_SPARE = 2  # ticks before the caller gives up at which the final answer is due: one may be under way
-PRESS_LOW = 0.6  # share of the limit, times a call's standing (0 to 1), from which some calls are turned away
-PRESS_SPAN = 0.4  # share of the limit over which the turning away grows from none to all; wide, or it swings
+PRESS_FROM = 0.25  # standing from which a call may go at all to a pressed server
+PRESS_LOW = 1.4  # share of the limit, times a call's standing (0 to 1), from which some calls are turned away
+PRESS_SPAN = 0.3  # share of the limit over which the turning away grows from none to all; wide, or it swings
 DRAIN_RATE = 0.5  # us a us by which an estimate ages: a processor left alone sheds 1, others still send to it
 MEAN_PART = 0.02  # weight of a call in the mean revenue: some 50 calls, a few seconds of one proxy
 BAD_ODDS, GOOD_ODDS = 0.5, 0.02  # chance of a lost seizure at a failed and at a sound server: far apart
@@ -305,7 +306,7 @@
         open_ = [s for s in servers if self._has_room(s)]
         fit = [s for s in open_ if s != avoid and self.skip_until[s] <= self.now and self.free[s] != 0]
         for s in fit:
-            if self._wait(s) <= self.limit * PRESS_LOW / 2:
+            if self._wait(s) <= self.limit * 0.3:
                 return s
         if fit:
             return min(fit, key=self._wait)
@@ -315,7 +316,7 @@
         """Whether the call is turned away: the wait leaves too little of the setup target. Those with least revenue
         against the mean go first, a growing share of them, so that proxies which see the same do not swing together."""
         standing = held.revenue / (held.revenue + self.mean_revenue) if held.revenue > 0 else 0.0
-        low = PRESS_LOW * standing
+        low = PRESS_LOW * (standing - PRESS_FROM)
         return self._chance() * PRESS_SPAN < self._wait(s) / max(1, self.limit) - low
 
     def _plan(self, held):
