--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -25,6 +25,7 @@
 TICKS_SPARE = 2  # ticks before the caller gives up at which the final answer is due: one may be under way
 PRESS_FROM = 0.25  # standing from which a call may go at all to a pressed server
 PRESS_LOW = 1.4  # share of the limit, times a call's standing (0 to 1), from which some calls are turned away
+PRESS_NONE = 0.1  # share of the limit below which nothing is turned away
 PRESS_SPAN = 0.3  # share of the limit over which the turning away grows from none to all; wide, or it swings
 DRAIN_RATE = 0.5  # us a us by which an estimate ages: a processor left alone sheds 1, others still send to it
 MEAN_PART = 0.02  # weight of a call in the mean revenue: some 50 calls, a few seconds of one proxy
@@ -61,7 +62,7 @@
         self.state, self.pool, self.started, self.skip_until = [], [], [], []
         self.firsts, self.retries, self.stands, self.slot = [], [], [], []  # the window's slots, and the last one's number
         self.out, self.wait, self.wait_at, self.score, self.trial_at = [], [], [], [], []
-        self.proven, self.rate, self.tokens, self.tokens_at, self.free = [], [], [], [], []
+        self.least, self.proven, self.rate, self.tokens, self.tokens_at, self.free = [], [], [], [], [], []
         self.by_pool = {}
         self.mean_revenue = 0.0
         self.quota, self.quota_at = [1.0] * len(settings["client_quota"]), 0
@@ -95,7 +96,7 @@
         while len(self.state) <= server:
             for figures, first in ((self.state, io.GONE), (self.pool, -1), (self.started, 0), (self.skip_until, 0),
                                    (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.score, 0.0),
-                                   (self.trial_at, 0), (self.proven, False), (self.rate, None), (self.tokens, 0.0),
+                                   (self.trial_at, 0), (self.least, 1 << 60), (self.proven, False), (self.rate, None), (self.tokens, 0.0),
                                    (self.tokens_at, 0), (self.free, None)):
                 figures.append(first)
             for figures in (self.firsts, self.retries, self.stands):
@@ -191,6 +192,7 @@
     def _stood(self, event):
         s = event.server
         self.out[s].pop(event.call, None)
+        self.least[s] = min(self.least[s], event.lag_us)
         self._observe(s, event.lag_us)
         self._outcome(s, False)
         self.proven[s] = True
@@ -317,7 +319,8 @@
         against the mean go first, a growing share of them, so that proxies which see the same do not swing together."""
         standing = held.revenue / (held.revenue + self.mean_revenue) if held.revenue > 0 else 0.0
         low = PRESS_LOW * (standing - PRESS_FROM)
-        return self._chance() * PRESS_SPAN < self._wait(s) / max(1, self.limit) - low
+        share = (self._wait(s) - (self.least[s] if self.proven[s] else 0)) / max(1, self.limit)
+        return share > PRESS_NONE and self._chance() * PRESS_SPAN < share - low
 
     def _plan(self, held):
         """Sets the wanted state of a call that something has happened to."""
