The wait estimate follows own seizures out now against those out before

Cause: the lag of the last answered set-up tells of the queue one wait ago; the count out tells of now.

--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -28,6 +28,7 @@
 PRESS_NONE = 0.1  # share of the limit below which nothing is turned away
 PRESS_SPAN = 0.3  # share of the limit over which the turning away grows from none to all; wide, or it swings
 DRAIN_RATE = 1.0  # us a us by which an estimate ages: a processor left alone sheds 1, others still send to it
+OWN_EVEN = 1  # set-ups of others, as it were, that steady the count of own ones out
 MEAN_PART = 0.02  # weight of a call in the mean revenue: some 50 calls, a few seconds of one proxy
 BAD_ODDS, GOOD_ODDS = 0.5, 0.02  # chance of a lost seizure at a failed and at a sound server: far apart
 FAILED_AT = 4.0  # log odds that call a server failed: two losses with no answer between
@@ -62,7 +63,7 @@
         self.state, self.pool, self.started, self.skip_until = [], [], [], []
         self.firsts, self.retries, self.stands, self.slot = [], [], [], []  # the window's slots, and the last one's number
         self.out, self.wait, self.wait_at, self.score, self.trial_at = [], [], [], [], []
-        self.least, self.proven, self.rate, self.tokens, self.tokens_at, self.free = [], [], [], [], [], []
+        self.least, self.ahead, self.proven, self.rate, self.tokens, self.tokens_at, self.free = [], [], [], [], [], [], []
         self.by_pool = {}
         self.mean_revenue = 0.0
         self.quota, self.quota_at = [1.0] * len(settings["client_quota"]), 0
@@ -96,7 +97,7 @@
         while len(self.state) <= server:
             for figures, first in ((self.state, io.GONE), (self.pool, -1), (self.started, 0), (self.skip_until, 0),
                                    (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.score, 0.0),
-                                   (self.trial_at, 0), (self.least, 1 << 60), (self.proven, False), (self.rate, None), (self.tokens, 0.0),
+                                   (self.trial_at, 0), (self.least, 1 << 60), (self.ahead, 1), (self.proven, False), (self.rate, None), (self.tokens, 0.0),
                                    (self.tokens_at, 0), (self.free, None)):
                 figures.append(first)
             for figures in (self.firsts, self.retries, self.stands):
@@ -143,7 +144,7 @@
             self.rate[s] = report.rate
 
     def _observe(self, s, wait):
-        self.wait[s], self.wait_at[s] = wait, self.now
+        self.wait[s], self.wait_at[s], self.ahead[s] = wait, self.now, len(self.out[s]) + 1
 
     def _outcome(self, s, lost):
         """Sequential test (CUSUM of log odds) on outcomes; guards against a server that takes set-ups and loses them,
@@ -191,9 +192,10 @@
 
     def _stood(self, event):
         s = event.server
-        self.out[s].pop(event.call, None)
+        sent = self.out[s].pop(event.call, None)
         self.least[s] = min(self.least[s], event.lag_us)
         self._observe(s, event.lag_us)
+        self.ahead[s] = sent[1] if sent else len(self.out[s]) + 1
         self._outcome(s, False)
         self.proven[s] = True
         self._count(self.stands, s)
@@ -267,7 +269,8 @@
     def _wait(self, s):
         """The wait that a new set-up would meet: the last seen, aged, and at least what the oldest one out has waited."""
         aged = self.wait[s] - int((self.now - self.wait_at[s]) * DRAIN_RATE)
-        oldest = next(iter(self.out[s].values()), self.now)
+        aged = aged * (len(self.out[s]) + 1 + OWN_EVEN) // (self.ahead[s] + OWN_EVEN)
+        oldest = next(iter(self.out[s].values()), (self.now, 0))[0]
         return max(0, aged, self.now - oldest)
 
     def _cold(self, s):
@@ -363,7 +366,7 @@
                 self._reserve(held, s)
 
     def _reserve(self, held, s):
-        self.out[s][held.call] = self.now
+        self.out[s][held.call] = (self.now, len(self.out[s]) + 1)
         if self._cold(s):
             self.tokens[s] = max(0.0, self.tokens[s] - 1.0)
         if self._cold(s) or self.score[s] >= FAILED_AT:
