--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,162 @@
+"""The design's parts and the guards, each failure found on the bench with a small test of its own."""
+
+import pytest
+from kit import MS, Bench, S
+
+from thorndale import interface as io
+from thorndale.policy import RETRY_FLOOR, SKIP_US, SLOT_US, SLOTS
+
+RETRIED = [io.FULL, io.TIMED_OUT, io.RESET, io.UNREACHABLE]
+
+
+def kinds(actions):
+    return [type(a) for a in actions]
+
+
+def fails_with(bench, outcome, pool=0):
+    bench.call(pool)
+    return bench.ended(bench.next, pool, outcome)
+
+
+def test_budget_floor_then_share_then_window_edge():
+    proxy = (bench := Bench()).proxy
+    assert [proxy._grant(0) for _ in range(RETRY_FLOOR + 1)] == [True] * RETRY_FLOOR + [False]
+    for _ in range(50):
+        proxy._count(proxy.firsts, 0)
+    assert [proxy._grant(0) for _ in range(3)] == [True, True, False]  # a tenth of 50 is 5
+    assert proxy._grant(1)  # a budget for each server
+    proxy.now = bench.now // SLOT_US * SLOT_US + SLOTS * SLOT_US - 1
+    assert not proxy._grant(0)  # the last instant of the window
+    proxy.now += 1
+    assert proxy._grant(0)  # the slot has left it
+
+
+@pytest.mark.parametrize("outcome", RETRIED)
+def test_retry_after_failures_that_may_pass_within_the_drawn_wait_and_release(outcome):
+    bench = Bench()
+    assert fails_with(bench, outcome) == []
+    guarded = outcome in (io.TIMED_OUT, io.RESET)
+    assert bench.later(499 * MS if guarded else 0) == []
+    again = bench.later(52 * MS)
+    assert kinds(again) == [io.Seize] and again[0].server == 1
+
+
+def test_line_busy_is_final_and_spent_budget_answers_at_once_with_a_comeback():
+    bench = Bench()
+    assert kinds(fails_with(bench, io.BUSY)) == [io.Fail]
+    for _ in range(RETRY_FLOOR):
+        assert fails_with(bench, io.UNREACHABLE) == []
+        bench.later(60 * MS)
+        bench.stood(bench.next, 1, seizure=1)
+        bench.proxy.score[0] = 0.0
+    refused = fails_with(bench, io.UNREACHABLE)
+    assert kinds(refused) == [io.Reject] and 0 < refused[0].comeback_us <= 2 * S
+
+
+def test_full_server_is_skipped_and_all_skipped_means_first_choice():
+    bench = Bench()
+    bench.proxy.proven = [True, True]
+    bench.proxy.skip_until = [bench.now + SKIP_US, 0]
+    assert bench.call(0)[0].server == 1
+    bench.proxy.skip_until[1] = bench.now + SKIP_US
+    assert bench.call(0)[0].server == 0
+    bench.later(SKIP_US)
+    assert bench.call(0)[0].server == 0
+
+
+def test_told_empty_goes_elsewhere_until_told_free():
+    bench = Bench()
+    bench.give(io.Seen(0, io.Report(0, 10, None, None), False))
+    assert bench.call(0)[0].server == 1
+    bench.give(io.Seen(0, io.Report(1, 10, None, None), False))
+    assert bench.call(0)[0].server == 0
+
+
+@pytest.mark.parametrize("state", [io.DRAINING, io.GONE])
+def test_nothing_new_to_a_leaving_server_from_the_batch_that_tells(state):
+    bench = Bench()
+    fails_with(bench, io.UNREACHABLE)  # its retry is set for server 1
+    bench.next += 1
+    called = io.Call(bench.next, 0, 0, 0, 3 * S, 1, False, False)
+    told = io.Servers((io.Server(1, 1, state, 0),), False, False)
+    done = bench.give(called, told) + bench.later(60 * MS)
+    assert all(a.server != 1 for a in done if type(a) is io.Seize)
+
+
+def test_each_call_is_answered_before_its_caller_leaves():
+    bench = Bench(1)
+    bench.call(left=2 * S)
+    done = bench.later(2 * S - 1)
+    assert kinds(done) == [io.Cancel, io.Fail]
+    assert bench.later(5 * S) == []
+
+
+def test_no_server_is_answered_at_once_and_open_max_is_kept():
+    assert kinds(Bench(0).call()) == [io.Reject]
+    bench = Bench(open_max=3)
+    assert [kinds(bench.call())[0] for _ in range(3)] == [io.Seize, io.Seize, io.Reject]
+
+
+def test_cold_server_gets_this_proxys_part_of_the_warm_rate_at_most():
+    bench = Bench()
+    bench.warm()  # two a second at a warm server
+    bench.tell(io.Server(1, 1, io.SERVING, bench.now))
+    sent = 0
+    for _ in range(40):  # twenty a second for two seconds want the cold one
+        for action in bench.call(1):
+            if type(action) is io.Seize and action.server == 1:
+                sent += 1
+                bench.stood(bench.next, 1)
+        bench.later(50 * MS)
+    assert 1 <= sent <= 1 + 2 * 2
+
+
+def test_lost_seizures_make_a_server_failed_and_one_answered_trial_brings_it_back():
+    bench = Bench()
+    bench.warm(2)
+    for _ in range(2):
+        fails_with(bench, io.TIMED_OUT)
+        bench.later(600 * MS)
+    bench.later(5 * S)  # the wait seen has aged too
+    seized = [a.server for _ in range(4) for a in bench.call(0) if type(a) is io.Seize]
+    assert seized.count(0) == 1  # the trial
+    bench.stood(next(iter(bench.proxy.out[0])), 0)
+    bench.later(100 * MS)
+    assert bench.call(0)[0].server == 0
+
+
+def test_pressed_servers_turn_away_least_revenue_first_and_redials_before_first_tries():
+    bench = Bench(1)
+    bench.warm(40)
+    taken = {"first": 0, "redial": 0, "dear": 0}
+    for _ in range(60):
+        for name, kind, redial in (("first", 0, False), ("redial", 0, True), ("dear", 1, False)):
+            bench.proxy._observe(0, 420 * MS)
+            if kinds(bench.call(kind=kind, redial=redial)) == [io.Seize]:
+                taken[name] += 1
+                bench.give(io.Left(bench.next))
+    assert taken["redial"] < taken["first"] < taken["dear"]
+
+
+def test_unflagged_redial_is_known_by_its_key_and_does_not_widen_the_budget():
+    bench = Bench(1)
+    bench.call(key=5)
+    bench.later(7 * S)
+    assert sum(bench.proxy.firsts[0]) == 1
+    bench.call(key=5)
+    assert bench.proxy.calls[bench.next].redial and sum(bench.proxy.firsts[0]) == 1
+    bench.later(10 * S)
+    bench.call(key=5)  # long after: another call to the same number
+    assert not bench.proxy.calls[bench.next].redial
+
+
+def test_wait_estimate_grows_with_own_seizures_out_and_with_the_age_of_the_oldest():
+    bench = Bench(1)
+    bench.warm(5)
+    bench.call()
+    idle = bench.proxy._wait(0)
+    bench.call()
+    assert bench.proxy._wait(0) >= idle
+    bench.later(900 * MS)
+    bench.give()
+    assert bench.proxy._wait(0) >= 900 * MS
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,169 @@
+"""A slow plain model of the rules beside the module, on generated events: they must agree on what is allowed."""
+
+import random
+
+import pytest
+from kit import MS, S, settings
+
+from thorndale import interface as io
+from thorndale.policy import RETRY_FLOOR, RETRY_SHARE, Proxy
+
+LOST = (io.TIMED_OUT, io.RESET, io.CANCELLED)
+
+
+class Model:
+    """Knows each call's whole history; asserts the rules on every action, the budget by counting anew."""
+
+    def __init__(self, conf):
+        self.conf, self.calls, self.state, self.firsts, self.sends = conf, {}, {}, [], []
+
+    def called(self, now, event):
+        self.calls[event.call] = dict(
+            due=now + event.left_us,
+            out=None,
+            sent=0,
+            free_at=0,
+            over=False,
+            redial=event.redial or event.again,
+            stood=False,
+        )
+
+    def ended(self, now, event):
+        call = self.calls[event.call]
+        call["out"] = None
+        call["over"] |= event.final
+        if event.outcome in LOST:
+            call["free_at"] = now + self.conf["release_us"]
+
+    def acted(self, now, action):
+        if type(action) in (io.Log, io.SetTimer, io.Follow):
+            return
+        call = self.calls[action.call]
+        if type(action) is io.Cancel:
+            assert call["out"] is not None
+            return
+        assert not call["over"] and now <= call["due"], "an answer or seizure after the end"
+        if type(action) is not io.Seize:
+            call["over"] = True
+            return
+        assert call["out"] is None and call["sent"] < 3, "two seizures out, or too many"
+        assert now >= call["free_at"], "the release was not awaited"
+        assert self.state[action.server] == io.SERVING, "sent to a server that leaves"
+        assert 0 < action.timeout_us <= call["due"] - now
+        if call["sent"]:
+            self.sends.append((now, action.server))
+            # Granted a drawn wait and a release before it is sent at most: the window is so much wider.
+            since = now - 10 * S - 1 * S
+            retries = sum(1 for at, s in self.sends if s == action.server and at > now - 9 * S)
+            firsts = sum(1 for at, s in self.firsts if s == action.server and at > since)
+            assert retries <= max(RETRY_FLOOR, RETRY_SHARE * firsts) + 1, "the budget was passed over"
+        elif not call["redial"]:
+            self.firsts.append((now, action.server))
+        call["out"], call["sent"] = (call["sent"], action.server), call["sent"] + 1
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_module_and_model_agree(seed):
+    rand = random.Random(seed)
+    conf = settings(
+        resend_us=rand.choice([0, 800 * MS]),
+        may_cancel=rand.random() < 0.7,
+        client_quota=rand.choice([[], [5.0, 2.0]]),
+        over_quota_part=0.2,
+    )
+    proxy, twin, model = Proxy(seed, conf), Proxy(seed, conf), Model(conf)
+    now, number, timers, due = 50 * S, 0, [], []  # due: (when, event maker)
+    lots, loss = rand.uniform(2, 20), rand.choice([0.02, 0.3, 0.8])
+    servers = {s: [s % 3, io.SERVING, 0] for s in range(rand.randint(1, 4))}
+    entries = [io.Server(s, *figures) for s, figures in servers.items()]
+    batch = [io.Servers(tuple(entries), True, True)]
+    model.state = {s: io.SERVING for s in servers}
+    end = now + 40 * S
+    while now < end or any(not c["over"] and not c["stood"] for c in model.calls.values()):
+        while rand.random() < lots * 0.005 and now < end:
+            number += 1
+            batch.append(
+                io.Call(
+                    number,
+                    rand.randrange(2),
+                    rand.randrange(2),
+                    rand.randrange(50),
+                    rand.randrange(50, 3600) * MS,
+                    rand.randrange(3),
+                    rand.random() < 0.2,
+                    False,
+                )
+            )
+            model.called(now, batch[-1])
+        if rand.random() < 0.003:
+            s = rand.choice(list(servers))
+            servers[s][1] = rand.choice([io.SERVING, io.SERVING, io.DRAINING, io.GONE])
+            servers[s][2] = now if servers[s][1] == io.SERVING and rand.random() < 0.5 else servers[s][2]
+            batch.append(io.Servers((io.Server(s, *servers[s]),), False, False))
+            model.state[s] = servers[s][1]
+        batch += [io.Due(t.token) for t in timers if t.at_us <= now]
+        timers = [t for t in timers if t.at_us > now]
+        for event in [e for at, e in due if at <= now]:
+            call = model.calls[event.call]
+            if call["out"] is None or call["out"][0] != event.seizure:
+                continue
+            if type(event) is io.Stood:
+                call["stood"] = call["over"] = True
+            else:
+                event = event._replace(final=event.final or call["over"])
+                model.ended(now, event)
+            batch.append(event)
+        due = [(at, e) for at, e in due if at > now]
+        actions = proxy.handle(now, batch)
+        assert actions == twin.handle(now, batch)
+        for action in actions:
+            model.acted(now, action)
+            if type(action) is io.SetTimer:
+                timers.append(action)
+            elif type(action) is io.Cancel:
+                due.append(
+                    (
+                        now,
+                        io.Ended(
+                            action.call,
+                            action.seizure,
+                            model.calls[action.call]["out"][1],
+                            io.CANCELLED,
+                            0,
+                            0,
+                            False,
+                            None,
+                        ),
+                    )
+                )
+            elif type(action) is io.Seize:
+                seizure, lag = model.calls[action.call]["sent"] - 1, rand.randrange(20, 1500) * MS
+                outcome = rand.choice([io.FULL, io.BUSY, io.RESET, io.UNREACHABLE, io.TIMED_OUT])
+                if rand.random() < loss or lag >= action.timeout_us:
+                    lag = action.timeout_us if outcome == io.TIMED_OUT else min(lag, action.timeout_us)
+                    due.append(
+                        (
+                            now + lag,
+                            io.Ended(action.call, seizure, action.server, outcome, 0, lag, False, None),
+                        )
+                    )
+                else:
+                    due.append((now + lag, io.Stood(action.call, seizure, action.server, lag)))
+                    due.append(
+                        (
+                            now + lag + S,
+                            io.Ended(
+                                action.call,
+                                seizure,
+                                action.server,
+                                io.COMPLETED,
+                                0,
+                                lag,
+                                True,
+                                io.Report(3, 9, lag, 20.0),
+                            ),
+                        )
+                    )
+        now, batch = now + 5 * MS, []
+    assert all(c["over"] for c in model.calls.values())
+    assert number > 20
--- a/thorndale/adapter/__main__.py
+++ b/thorndale/adapter/__main__.py
@@ -1,4 +1,5 @@
 """Entry point: `python -m thorndale.adapter` speaks the simulator's wire on standard input and output."""
+
 import sys
 
 from thorndale.adapter.host import serve
--- a/thorndale/adapter/door.py
+++ b/thorndale/adapter/door.py
@@ -1,14 +1,23 @@
-"""The door of one instance: wire ids to small indices and back, milliseconds to whole microseconds, wire names to ours.
+"""The door of one instance: wire ids to small indices and back, milliseconds to whole
+microseconds, wire names to ours.
 
 Indices of calls are used again once a call is over and none of its seizures is out.
 """
+
 from thorndale import interface as ours
 from thorndale.adapter import frames as f
 
 STATES = {"SERVING": ours.SERVING, "DRAINING": ours.DRAINING, "DELETED": ours.GONE}
-OUTCOMES = {"completed": ours.COMPLETED, "errored": ours.BUSY, "saturated": ours.FULL, "overdue": ours.TIMED_OUT,
-            "refused_conn": ours.UNREACHABLE, "severed": ours.RESET, "recalled": ours.CANCELLED,
-            "superseded": ours.NOT_SENT}
+OUTCOMES = {
+    "completed": ours.COMPLETED,
+    "errored": ours.BUSY,
+    "saturated": ours.FULL,
+    "overdue": ours.TIMED_OUT,
+    "refused_conn": ours.UNREACHABLE,
+    "severed": ours.RESET,
+    "recalled": ours.CANCELLED,
+    "superseded": ours.NOT_SENT,
+}
 
 
 def _listed(info, path, parse, default=None):
@@ -30,8 +39,14 @@
         "type_guard_us": _listed(info, "classes[].giveUpMs", f.micros),
         "type_revenue": _listed(info, "classes[].worth", f.number),
         "type_late_part": _listed(info, "classes[].lateWorth", f.number, 0.0),
-        "type_pools": [[f.whole("familyInfo.skilledPools", p) for p in
-                        info.get(f"familyInfo.skilledPools.{n}", "").split(",") if p] for n in range(pools)],
+        "type_pools": [
+            [
+                f.whole("familyInfo.skilledPools", p)
+                for p in info.get(f"familyInfo.skilledPools.{n}", "").split(",")
+                if p
+            ]
+            for n in range(pools)
+        ],
         "client_quota": _listed(info, "tenants[].quotaPerS", f.number),
         "over_quota_part": f.maybe(info, "overShareWorth", f.number, 1.0),
         "release_us": f.need(info, "familyInfo.guardMs", f.micros),
@@ -77,8 +92,12 @@
         found = f.pairs("stats", text)
         told = {k: v for k, v in found.items() if v >= 0}
         wait = told.get("latency_ms")
-        return ours.Report(told.get("idle"), told.get("circuits"),
-                           None if wait is None else round(wait * 1000), told.get("max_rate"))
+        return ours.Report(
+            told.get("idle"),
+            told.get("circuits"),
+            None if wait is None else round(wait * 1000),
+            told.get("max_rate"),
+        )
 
     def event(self, name, fields, lists):
         """The event for the module, or None where there is nothing for it."""
@@ -95,10 +114,16 @@
                 self.out.append(0)
                 self.over.append(False)
             self.calls[tid] = index
-            return ours.Call(index, f.need(fields, "priority", f.whole), f.maybe(fields, "realm", f.whole, 0),
-                             f.maybe(fields, "nameKey", f.hexkey, 0), f.need(fields, "leftMs", f.micros),
-                             f.need(fields, "dest", f.whole), f.maybe(fields, "repeat", f.flag, False),
-                             f.maybe(fields, "again", f.flag, False))
+            return ours.Call(
+                index,
+                f.need(fields, "priority", f.whole),
+                f.maybe(fields, "realm", f.whole, 0),
+                f.maybe(fields, "nameKey", f.hexkey, 0),
+                f.need(fields, "leftMs", f.micros),
+                f.need(fields, "dest", f.whole),
+                f.maybe(fields, "repeat", f.flag, False),
+                f.maybe(fields, "again", f.flag, False),
+            )
         if name in ("UNDER_WAY", "RESOLVED"):
             index = self.calls.get(f.need(fields, "tid", f.whole))
             seizure = f.need(fields, "copy", f.whole)
@@ -141,7 +166,9 @@
             ref = f.need(fields, "ref", f.whole)
             if ref not in lists:
                 raise f.BadInput(f"list {ref} was never defined")
-            entries = tuple(ours.Server(self.server(s), pool, state, started) for s, pool, state, started in lists[ref])
+            entries = tuple(
+                ours.Server(self.server(s), pool, state, started) for s, pool, state, started in lists[ref]
+            )
             return ours.Servers(entries, form != "diff", form == "disk")
         if name == "MEMO":
             return ours.Told(f.need(fields, "srcPeer", f.whole), f.need(fields, "bytes", f.octets))
@@ -158,8 +185,13 @@
         kind = type(action)
         if kind is ours.Seize:
             self.out[action.call] += 1
-            return f.line("DELIVER", proxy=proxy, tid=self.call_ids[action.call],
-                          server=self.server_ids[action.server], timeoutMs=f.ms(action.timeout_us))
+            return f.line(
+                "DELIVER",
+                proxy=proxy,
+                tid=self.call_ids[action.call],
+                server=self.server_ids[action.server],
+                timeoutMs=f.ms(action.timeout_us),
+            )
         if kind is ours.SetTimer:
             return f.line("REMIND", proxy=proxy, momentMs=f.ms(action.at_us), ctx=action.token)
         if kind is ours.Log:
@@ -180,5 +212,9 @@
     state = f.need(fields, "lifecycle", f.string)
     if state not in STATES:
         raise f.BadInput(f"unknown lifecycle {state[:40]!r}")
-    return (f.need(fields, "server", f.whole), f.need(fields, "nodeNo", f.whole), STATES[state],
-            f.maybe(fields, "startedAtMs", f.micros, 0))
+    return (
+        f.need(fields, "server", f.whole),
+        f.need(fields, "nodeNo", f.whole),
+        STATES[state],
+        f.maybe(fields, "startedAtMs", f.micros, 0),
+    )
--- a/thorndale/adapter/frames.py
+++ b/thorndale/adapter/frames.py
@@ -1,4 +1,5 @@
 """Lines of the wire: reading fields with their types, and writing them. No meaning, no ids."""
+
 import base64
 import binascii
 
--- a/thorndale/adapter/host.py
+++ b/thorndale/adapter/host.py
@@ -1,4 +1,5 @@
-"""Hosts instances that share nothing: reads batches, hands each instance its events, writes one reply a batch."""
+"""Hosts instances that share nothing: reads batches, hands out events, writes one reply a batch."""
+
 from thorndale.adapter import frames as f
 from thorndale.adapter.door import Door, entry, settings
 from thorndale.policy import Proxy
@@ -95,9 +96,13 @@
     except BrokenPipeError:
         return 1
     except Exception as bad:  # a fault of the module ends the day too, with a plain message and no traceback
-        said = str(bad) if isinstance(bad, f.BadInput) else f"fault near line {at}: {type(bad).__name__}: {bad}"
+        said = (
+            str(bad) if isinstance(bad, f.BadInput) else f"fault near line {at}: {type(bad).__name__}: {bad}"
+        )
         print(f"thorndale.adapter: {said}", file=errors)
         if number is not None and number.isdigit():
-            sink.write((f.line("PANIC", proxy=number, reasonText=" ".join(said.split())) + "\nEND\n").encode())
+            sink.write(
+                (f.line("PANIC", proxy=number, reasonText=" ".join(said.split())) + "\nEND\n").encode()
+            )
             sink.flush()
         return 1
--- a/thorndale/interface.py
+++ b/thorndale/interface.py
@@ -3,7 +3,8 @@
 Times are whole microseconds on the caller's clock, which only ever advances. Calls, servers, call types and
 clients are small indices given out by whoever hosts the module. `None` stands for 'not told'.
 """
-from typing import NamedTuple, Optional
+
+from typing import NamedTuple
 
 # States of a server in the list.
 SERVING, DRAINING, GONE = 0, 1, 2
@@ -14,6 +15,7 @@
 
 class Server(NamedTuple):
     """One entry of the list of servers."""
+
     server: int
     pool: int
     state: int
@@ -22,14 +24,16 @@
 
 class Report(NamedTuple):
     """What a server said of itself; None where it said nothing."""
-    free: Optional[float]
-    lines: Optional[float]
-    wait_us: Optional[int]
-    rate: Optional[float]  # new set-ups a second that it can take from all proxies
+
+    free: float | None
+    lines: float | None
+    wait_us: int | None
+    rate: float | None  # new set-ups a second that it can take from all proxies
 
 
 class Servers(NamedTuple):
     """The list, whole or as changes. `disk` marks the copy kept over a restart."""
+
     entries: tuple
     whole: bool
     disk: bool
@@ -41,6 +45,7 @@
 
 class Call(NamedTuple):
     """A call was handed to this proxy, which owes it one final answer within left_us."""
+
     call: int
     call_type: int
     client: int
@@ -60,6 +65,7 @@
 
 class Ended(NamedTuple):
     """The one end of a seizure. `final`: the call has its answer already."""
+
     call: int
     seizure: int
     server: int
@@ -67,21 +73,24 @@
     wait_us: int  # a wait named by a full processor, else 0
     lag_us: int
     final: bool
-    report: Optional[Report]
+    report: Report | None
 
 
 class Left(NamedTuple):
     """The caller has left; nothing more is owed."""
+
     call: int
 
 
 class Due(NamedTuple):
     """A timer has fallen due."""
+
     token: int
 
 
 class Seen(NamedTuple):
     """A report that came outside a seizure."""
+
     server: int
     report: Report
     asked: bool
@@ -89,6 +98,7 @@
 
 class Told(NamedTuple):
     """A message from another proxy."""
+
     peer: int
     data: bytes
 
@@ -106,12 +116,14 @@
 
 class Reject(NamedTuple):
     """Final answer: turned away, to come back after comeback_us (0: nothing said)."""
+
     call: int
     comeback_us: int
 
 
 class Fail(NamedTuple):
     """Final answer: given up."""
+
     call: int
 
 
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -1,11 +1,13 @@
 """The decisions of one proxy: which call is seized where, when it waits, and when it is given back.
 
-How to call it: Proxy(seed, settings), then for each batch handle(now_us, events), which returns the actions to
-carry out in that order. The events and actions are the types of thorndale/interface.py; the settings are one plain
-map of names to values (the adapter's door lists the names). Nothing is shared between two Proxy objects.
-
-How it is built: events change what is known; _plan sets the wanted state of each touched call; _emit, alone, works
-out the difference between the wanted and the present state and returns it as actions. See docs/design.md.
+How to call it: Proxy(seed, settings), then for each batch handle(now_us, events), which returns the
+actions to carry out in that order. The events and actions are the types of thorndale/interface.py; the
+settings are one plain map of names to values (the adapter's door lists the names). Two Proxy objects
+share nothing.
+
+How it is built: events change what is known; _plan sets the wanted state of each touched call; _emit,
+alone, works out the difference between the wanted and the present state and returns it as actions. Why
+each part is as it is: docs/design.md.
 """
 from collections import deque
 from heapq import heappop, heappush
@@ -23,25 +25,24 @@
 WAIT_MOST_US = 2_000_000  # us, most of any wait: the design's
 SKIP_US = 1_000_000  # us that a server which was full or timed out is skipped: the design's
 TICKS_SPARE = 2  # ticks before the caller gives up at which the final answer is due: one may be under way
-PRESS_FROM = 0.3  # standing from which a call may go at all to a pressed server
+PRESS_FROM = 0.3  # standing below which any press turns a call away: redials, over quota
 PRESS_LOW = 2.0  # share of the limit, times a call's standing (0 to 1), from which some calls are turned away
 PRESS_NONE = 0.1  # share of the limit below which nothing is turned away
 PRESS_SPAN = 0.3  # share of the limit over which the turning away grows from none to all; wide, or it swings
-DRAIN_RATE = 1.0  # us a us by which an estimate ages: a processor left alone sheds 1, others still send to it
-OWN_EVEN = 1  # set-ups of others, as it were, that steady the count of own ones out
+DRAIN_RATE = 0.5  # us a us by which an estimate ages: a processor left alone sheds 1, others still send to it
 MEAN_PART = 0.02  # weight of a call in the mean revenue: some 50 calls, a few seconds of one proxy
 BAD_ODDS, GOOD_ODDS = 0.5, 0.02  # chance of a lost seizure at a failed and at a sound server: far apart
 FAILED_AT = 4.0  # log odds that call a server failed: two losses with no answer between
 SCORE_MOST = 8.0  # log odds kept at most, so that some dozen answers clear any server
 TRIAL_US = 1_000_000  # us between trials of a failed server: a tenth of the window
-COLD_DEPTH = 1.0  # set-ups that a cold server may be sent at once beyond the pace: the least whole one
-FRESH_OUT = 2  # seizures out at a server that has not yet answered this proxy: the next goes when one stands
+COLD_DEPTH = 1.0  # set-ups that a cold server may get beyond the pace: the least whole one
+FRESH_OUT = 2  # seizures out at a server that has not answered this proxy yet: then it waits for one
 
 
 class Held:
     """A call that this proxy owes an answer."""
-    __slots__ = ("call", "kind", "client", "pool", "key", "redial", "revenue", "came", "last", "sent", "out", "server",
-                 "failed_at", "resume", "release", "stood", "want", "arg")
+    __slots__ = ("call", "kind", "client", "pool", "key", "redial", "revenue", "came", "last", "sent", "out",
+                 "server", "failed_at", "resume", "release", "stood", "want", "arg")
 
     def __init__(self, event, now):
         self.call, self.kind, self.client, self.pool = event.call, event.call_type, event.client, event.pool
@@ -61,17 +62,19 @@
         self.alarms, self.armed, self.serial = [], 0, 0
         # Figures about servers, each a list under the server's index.
         self.state, self.pool, self.started, self.skip_until = [], [], [], []
-        self.firsts, self.retries, self.stands, self.slot = [], [], [], []  # the window's slots, and the last one's number
-        self.out, self.wait, self.wait_at, self.score, self.trial_at = [], [], [], [], []
-        self.least, self.ahead, self.proven, self.rate, self.tokens, self.tokens_at, self.free = [], [], [], [], [], [], []
+        self.firsts, self.retries, self.stands, self.slot = [], [], [], []  # slots, the last's number
+        self.out = []  # call: (when sent, seizures out with it), oldest first
+        self.wait, self.wait_at, self.ahead, self.least = [], [], [], []  # lag seen, when, out then
+        self.score, self.trial_at, self.proven, self.rate, self.free = [], [], [], [], []
+        self.tokens, self.tokens_at = [], []
         self.by_pool = {}
         self.mean_revenue = 0.0
         self.quota, self.quota_at = [1.0] * len(settings["client_quota"]), 0
         self.list_wanted = settings["list_asked"]
         targets = settings["type_target_us"] + ([settings["resend_us"]] if settings["resend_us"] else [])
         self.limit = min(targets, default=0)
-        self.on = {io.Servers: self._servers, io.Call: self._call, io.Stood: self._stood, io.Ended: self._ended,
-                   io.Left: self._left, io.Seen: self._seen, io.ListFailed: self._list_failed}
+        self.on = {io.Servers: self._servers, io.Call: self._call, io.Stood: self._stood, io.Left: self._left,
+                   io.Ended: self._ended, io.Seen: self._seen, io.ListFailed: self._list_failed}
 
     def handle(self, now, events):
         self.now = now
@@ -86,7 +89,7 @@
                 self._plan(held)
         return self._emit()
 
-    # ---- what is known -------------------------------------------------------------------------------------------
+    # ---- what is known ----
 
     def _chance(self):
         """A linear congruential generator; its high bits as a share from 0 to 1."""
@@ -95,10 +98,11 @@
 
     def _grow(self, server):
         while len(self.state) <= server:
-            for figures, first in ((self.state, io.GONE), (self.pool, -1), (self.started, 0), (self.skip_until, 0),
-                                   (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.score, 0.0),
-                                   (self.trial_at, 0), (self.least, 1 << 60), (self.ahead, 1), (self.proven, False), (self.rate, None), (self.tokens, 0.0),
-                                   (self.tokens_at, 0), (self.free, None)):
+            for figures, first in (
+                    (self.state, io.GONE), (self.pool, -1), (self.started, 0), (self.skip_until, 0),
+                    (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.ahead, 1), (self.least, 1 << 60),
+                    (self.score, 0.0), (self.trial_at, 0), (self.proven, False), (self.rate, None),
+                    (self.free, None), (self.tokens, 0.0), (self.tokens_at, 0)):
                 figures.append(first)
             for figures in (self.firsts, self.retries, self.stands):
                 figures.append([0] * SLOTS)
@@ -147,15 +151,15 @@
         self.wait[s], self.wait_at[s], self.ahead[s] = wait, self.now, len(self.out[s]) + 1
 
     def _outcome(self, s, lost):
-        """Sequential test (CUSUM of log odds) on outcomes; guards against a server that takes set-ups and loses them,
-        whatever the cause: dead, hung, unreachable. It harms where losses come from the network alone."""
+        """Sequential test (CUSUM of log odds) on outcomes. Guards against a server that takes set-ups and
+        loses them, whatever the cause: dead, hung, unreachable. Harms where the network alone loses them."""
         was = self.score[s] >= FAILED_AT
         step = log(BAD_ODDS / GOOD_ODDS) if lost else log((1 - BAD_ODDS) / (1 - GOOD_ODDS))
         self.score[s] = min(SCORE_MOST, max(0.0, self.score[s] + step))
         if not lost and was:
             self.score[s] = 0.0  # a failed server that answers a trial is back
         if (self.score[s] >= FAILED_AT) != was:
-            self.notes.append(f"server {s}: {'sound again, it answers' if was else 'failed, seizures are lost'}")
+            self.notes.append(f"server {s}: " + ("sound, it answers again" if was else "failed, it loses seizures"))
 
     def _call(self, event):
         held = Held(event, self.now)
@@ -235,14 +239,15 @@
                 self.out[held.server].pop(held.call, None)
 
     def _remember(self, held):
-        """Keeps the key of a call given back, so that a redial without a flag is known for what it is: else redials
-        of cut or rejected calls come as first set-ups, widen the budget and take the place of calls still in time."""
+        """Keeps the key of a call given back, so that a redial without a flag is known for what it is. Else
+        redials come as first set-ups, widen the budget and take the place of calls still in time. Harms a
+        second caller of the same number within the guard time."""
         if held.key and held.key not in self.given_up:
             self.given_up[held.key] = held.came
             guard = self.settings["type_guard_us"][held.kind]
             self.given_up_at.append((held.came + guard, held.key))
 
-    # ---- the retry budget (the design's) ---------------------------------------------------------------------------
+    # ---- the retry budget (the design's) ----
 
     def _roll(self, s):
         """Empty the slots of server s that have left the window."""
@@ -264,21 +269,22 @@
         self.retries[s][at] += 1
         return True
 
-    # ---- routing and admission -------------------------------------------------------------------------------------
+    # ---- routing and admission ----
 
     def _wait(self, s):
-        """The wait that a new set-up would meet: the last seen, aged, and at least what the oldest one out has waited."""
+        """The wait that a new set-up would meet: the last lag seen, aged, scaled by the seizures out now
+        against those out when that one left; and at least what the oldest one out has waited."""
         aged = self.wait[s] - int((self.now - self.wait_at[s]) * DRAIN_RATE)
-        aged = aged * (len(self.out[s]) + 1 + OWN_EVEN) // (self.ahead[s] + OWN_EVEN)
+        aged = aged * (len(self.out[s]) + 1) // self.ahead[s]
         oldest = next(iter(self.out[s].values()), (self.now, 0))[0]
         return max(0, aged, self.now - oldest)
 
     def _cold(self, s):
-        return 0 < self.started[s] and self.now < self.started[s] + self.settings["warm_up_us"]
+        return self.started[s] > 0 and self.now < self.started[s] + self.settings["warm_up_us"]
 
     def _pace(self, s):
-        """Set-ups a second that this proxy may send to cold server s: its own part of what a warm server takes (its
-        own answered set-ups per warm server, so that all parts add up to no more), less what is missing for warm."""
+        """Set-ups a second that this proxy may send to cold server s: its own part of what a warm server
+        takes (its own answered ones per warm server, so that all parts add up to no more), times warmth."""
         warm = [w for w in range(len(self.state)) if self.state[w] == io.SERVING and not self._cold(w)]
         for w in warm:
             self._roll(w)
@@ -303,7 +309,7 @@
         return self.proven[s] or out < FRESH_OUT
 
     def _route(self, held, avoid=-1):
-        """First choice unless skipped, told empty or barred by a guard, else the other pools in turn; -1: none."""
+        """First choice unless skipped, told empty or barred by a guard, else the others in turn; -1: none."""
         pools = self.settings["type_pools"]
         allowed = pools[held.kind] if held.kind < len(pools) else list(self.by_pool)
         turn = [held.pool] + [p for p in allowed if p > held.pool] + [p for p in allowed if p < held.pool]
@@ -318,8 +324,9 @@
         return open_[0] if open_ else -1
 
     def _pressed(self, held, s):
-        """Whether the call is turned away: the wait leaves too little of the setup target. Those with least revenue
-        against the mean go first, a growing share of them, so that proxies which see the same do not swing together."""
+        """Whether the call is turned away: the wait leaves too little of the setup target. Those with least
+        revenue against the mean go first, and a growing share of them, or proxies that see the same would
+        swing together. Guards against any lack of capacity: bursts, slow servers, lost servers."""
         standing = held.revenue / (held.revenue + self.mean_revenue) if held.revenue > 0 else 0.0
         low = PRESS_LOW * (standing - PRESS_FROM)
         share = (self._wait(s) - (self.least[s] if self.proven[s] else 0)) / max(1, self.limit)
@@ -376,7 +383,7 @@
         self.serial += 1
         heappush(self.alarms, (at, self.serial, held))
 
-    # ---- the one place that acts -----------------------------------------------------------------------------------
+    # ---- the one place that acts ----
 
     def _emit(self):
         """Works out the difference between the wanted and the present state, and emits it."""
@@ -406,7 +413,7 @@
         return actions
 
     def _comeback(self):
-        """When a caller should come back: after the longest time that callers heed, spread over its second half."""
+        """When a caller should come back: the longest time that callers heed, spread over its second half."""
         if not self.settings["comeback_told"]:
             return 0
         return int(self.settings["comeback_max_us"] * (1 + self._chance()) / 2)
