--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -159,7 +159,7 @@
         if not lost and was:
             self.score[s] = 0.0  # a failed server that answers a trial is back
         if (self.score[s] >= FAILED_AT) != was:
-            self.notes.append(f"server {s}: " + ("sound, it answers again" if was else "failed, it loses seizures"))
+            self.notes.append(f"server {s}: {'answers again' if was else 'failed, loses seizures'}")
 
     def _call(self, event):
         held = Held(event, self.now)
