--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,4 @@
-"""A slow plain model of the rules beside the module: on generated events they must agree on what is allowed."""
+"""A slow plain model of the rules beside the module: both must agree on what is allowed."""
 
 import random
 
