--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -117,7 +117,7 @@
             if entry.started_us != self.started[s] and entry.state == io.SERVING:
                 # A new process: what was learned of the old one is void, and it may be cold.
                 self.started[s], self.score[s], self.proven[s] = entry.started_us, 0.0, False
-                self.tokens[s], self.tokens_at[s], self.wait[s] = COLD_DEPTH, self.now, 0
+                self.tokens[s], self.tokens_at[s], self.wait[s] = self._chance(), self.now, 0
             self._state(s, entry.state)
             self.pool[s] = entry.pool
         if event.whole:
@@ -293,6 +293,7 @@
         if rates:
             own = max(rates) / max(1, self.settings["instances"])
         start = self.settings["start_capacity"]
+        own = max(own, 1e6 / self.settings["fall_us"])
         return own * (start + (1 - start) * (self.now - self.started[s]) / self.settings["warm_up_us"])
 
     def _has_room(self, s):
@@ -302,7 +303,7 @@
             pace = self._pace(s)
             self.tokens[s] = min(COLD_DEPTH, self.tokens[s] + (self.now - self.tokens_at[s]) * pace / 1e6)
             self.tokens_at[s] = self.now
-            if self.tokens[s] < 1.0 and (out or self.now < self.trial_at[s] + TRIAL_US):
+            if self.tokens[s] < 1.0:
                 return False
         if self.score[s] >= FAILED_AT and (out or self.now < self.trial_at[s] + TRIAL_US):
             return False
