--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -65,7 +65,7 @@
         self.firsts, self.retries, self.stands, self.slot = [], [], [], []  # slots, the last's number
         self.out = []  # call: (when sent, seizures out with it), oldest first
         self.wait, self.wait_at, self.ahead, self.least = [], [], [], []  # lag seen, when, out then
-        self.score, self.trial_at, self.proven, self.rate, self.free = [], [], [], [], []
+        self.score, self.trial_at, self.proven, self.free = [], [], [], []
         self.tokens, self.tokens_at = [], []
         self.by_pool = {}
         self.mean_revenue = 0.0
@@ -101,7 +101,7 @@
             for figures, first in (
                     (self.state, io.GONE), (self.pool, -1), (self.started, 0), (self.skip_until, 0),
                     (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.ahead, 1), (self.least, 1 << 60),
-                    (self.score, 0.0), (self.trial_at, 0), (self.proven, False), (self.rate, None),
+                    (self.score, 0.0), (self.trial_at, 0), (self.proven, False),
                     (self.free, None), (self.tokens, 0.0), (self.tokens_at, 0)):
                 figures.append(first)
             for figures in (self.firsts, self.retries, self.stands):
@@ -144,8 +144,6 @@
     def _report(self, s, report):
         if report.free is not None:
             self.free[s] = report.free
-        if report.rate:
-            self.rate[s] = report.rate
 
     def _observe(self, s, wait):
         self.wait[s], self.wait_at[s], self.ahead[s] = wait, self.now, len(self.out[s]) + 1
@@ -289,9 +287,6 @@
         for w in warm:
             self._roll(w)
         own = sum(sum(self.stands[w]) for w in warm) / max(1, len(warm)) / (SLOTS * SLOT_US / 1e6)
-        rates = [self.rate[w] for w in warm if self.rate[w]]
-        if rates:
-            own = max(rates) / max(1, self.settings["instances"])
         start = self.settings["start_capacity"]
         own = max(own, 1e6 / self.settings["fall_us"])
         return own * (start + (1 - start) * (self.now - self.started[s]) / self.settings["warm_up_us"])
