No lesser call is taken for two seconds after one of full revenue was turned away

Cause: fresh calls were turned away while their redials, worth a quarter or less, got in a second later.

--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -25,11 +25,12 @@
 WAIT_MOST_US = 2_000_000  # us, most of any wait: the design's
 SKIP_US = 1_000_000  # us that a server which was full or timed out is skipped: the design's
 TICKS_SPARE = 2  # ticks before the caller gives up at which the final answer is due: one may be under way
-PRESS_FROM = 0.25  # standing below which any press turns a call away: redials, over quota
-PRESS_LOW = 1.4  # share of the limit, times a call's standing (0 to 1), from which some calls are turned away
+PRESS_FROM = 0.3  # standing below which any press turns a call away: redials, over quota
+PRESS_LOW = 2.0  # share of the limit, times a call's standing (0 to 1), from which some calls are turned away
 PRESS_NONE = 0.1  # share of the limit below which nothing is turned away
 PRESS_SPAN = 0.3  # share of the limit over which the turning away grows from none to all; wide, or it swings
 DRAIN_RATE = 0.5  # us a us by which an estimate ages: a processor left alone sheds 1, others still send to it
+TURNED_US = 2_000_000  # us after a call of full revenue was turned away in which no lesser one is taken
 MEAN_PART = 0.02  # weight of a call in the mean revenue: some 50 calls, a few seconds of one proxy
 BAD_ODDS, GOOD_ODDS = 0.5, 0.02  # chance of a lost seizure at a failed and at a sound server: far apart
 FAILED_AT = 4.0  # log odds that call a server failed: two losses with no answer between
@@ -68,7 +69,7 @@
         self.score, self.trial_at, self.proven, self.free = [], [], [], []
         self.tokens, self.tokens_at = [], []
         self.by_pool = {}
-        self.mean_revenue = 0.0
+        self.mean_revenue, self.turned_at = 0.0, -TURNED_US
         self.quota, self.quota_at = [1.0] * len(settings["client_quota"]), 0
         self.list_wanted = settings["list_asked"]
         targets = settings["type_target_us"] + ([settings["resend_us"]] if settings["resend_us"] else [])
@@ -340,8 +341,13 @@
             held.want = "keep"
         elif held.want == "new":
             s = self._route(held)
-            if s < 0 or self._pressed(held, s):
+            full = held.revenue >= self.settings["type_revenue"][held.kind]
+            if not full and self.now < self.turned_at + TURNED_US:
                 held.want = "reject"
+            elif s < 0 or self._pressed(held, s):
+                held.want = "reject"
+                if full:
+                    self.turned_at = self.now
             else:
                 if not held.redial:
                     self._count(self.firsts, s)
