Only redials are held back by turned-away first tries, for four seconds

Guards against redials taking the place of first tries in any lack of capacity; harms a redial that would have met a server with room, for four seconds at most.

--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -30,7 +30,7 @@
 PRESS_NONE = 0.1  # share of the limit below which nothing is turned away
 PRESS_SPAN = 0.3  # share of the limit over which the turning away grows from none to all; wide, or it swings
 DRAIN_RATE = 0.5  # us a us by which an estimate ages: a processor left alone sheds 1, others still send to it
-TURNED_US = 2_000_000  # us after a call of full revenue was turned away in which no lesser one is taken
+TURNED_US = 4_000_000  # us after a call of full revenue was turned away in which no lesser one is taken
 MEAN_PART = 0.02  # weight of a call in the mean revenue: some 50 calls, a few seconds of one proxy
 BAD_ODDS, GOOD_ODDS = 0.5, 0.02  # chance of a lost seizure at a failed and at a sound server: far apart
 FAILED_AT = 4.0  # log odds that call a server failed: two losses with no answer between
@@ -42,12 +42,13 @@
 
 class Held:
     """A call that this proxy owes an answer."""
-    __slots__ = ("call", "kind", "client", "pool", "key", "redial", "revenue", "came", "last", "sent", "out",
+    __slots__ = ("call", "kind", "client", "pool", "key", "redial", "first", "revenue", "came", "last", "sent", "out",
                  "server", "failed_at", "resume", "release", "stood", "want", "arg")
 
     def __init__(self, event, now):
         self.call, self.kind, self.client, self.pool = event.call, event.call_type, event.client, event.pool
         self.key, self.redial = event.key, event.redial or event.again
+        self.first = not event.redial  # earns its full revenue
         self.came, self.last = now, now + event.left_us
         self.sent, self.out, self.server, self.failed_at = 0, -1, -1, -1
         self.resume = self.release = 0
@@ -169,8 +170,8 @@
         while self.given_up_at and self.given_up_at[0][0] <= self.now:
             self.given_up.pop(self.given_up_at.popleft()[1], None)
         if event.key in self.given_up and not event.again:
-            held.redial, held.came = True, self.given_up[event.key]
-        if held.redial and not event.again:
+            held.redial, held.first, held.came = True, False, self.given_up[event.key]
+        if not held.first:
             revenue *= settings["type_late_part"][kind]
         if self.quota and not self._within_quota(event.client):
             revenue *= settings["over_quota_part"]
@@ -341,7 +342,7 @@
             held.want = "keep"
         elif held.want == "new":
             s = self._route(held)
-            full = held.revenue >= self.settings["type_revenue"][held.kind]
+            full = held.first
             if not full and self.now < self.turned_at + TURNED_US:
                 held.want = "reject"
             elif s < 0 or self._pressed(held, s):
