--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -347,7 +347,7 @@
                 held.want = "reject"
             elif s < 0 or self._pressed(held, s):
                 held.want = "reject"
-                if full:
+                if full and held.revenue >= self.settings["type_revenue"][held.kind]:
                     self.turned_at = self.now
             else:
                 if not held.redial:
