A signalling fault is told from line busy, retried and held against the server

Errors without the line-busy cause now count as losses. Harms where callers' own lines cause faults without the busy cause.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -78,3 +78,9 @@
 def test_input_that_ends_inside_a_batch_is_an_error():
     assert serve(streams.BytesIO(b"MARK\ttMs=1.0\n"), streams.BytesIO(), streams.StringIO()) == 1
     assert serve(streams.BytesIO(b""), streams.BytesIO(), streams.StringIO()) == 0
+
+
+@pytest.mark.parametrize(("cause", "answer"), [("\tclearCode=4", "ABORT"), ("", "END")])
+def test_line_busy_is_told_from_a_signalling_fault_by_its_cause(cause, answer):
+    ended = "RESOLVED\tproxy=3\ttid=3629755735380420\tlagMs=9\tcode=errored\tserver=51530247\tcopy=0"
+    assert run(BOOT + CALL, ended + cause + "\n")[1].split("END\n")[1].startswith(answer) or answer == "END"
--- a/thorndale/adapter/door.py
+++ b/thorndale/adapter/door.py
@@ -10,7 +10,7 @@
 STATES = {"SERVING": ours.SERVING, "DRAINING": ours.DRAINING, "DELETED": ours.GONE}
 OUTCOMES = {
     "completed": ours.COMPLETED,
-    "errored": ours.BUSY,
+    "errored": ours.FAULTY,
     "saturated": ours.FULL,
     "overdue": ours.TIMED_OUT,
     "refused_conn": ours.UNREACHABLE,
@@ -141,7 +141,8 @@
                 return None
             self.out[index] -= 1
             wait = (cause >> 4) * 1000 if code == "saturated" and cause & 15 == 3 else 0
-            event = ours.Ended(index, seizure, server, OUTCOMES[code], wait, lag, final, report)
+            outcome = ours.BUSY if code == "errored" and cause & 15 == 4 else OUTCOMES[code]
+            event = ours.Ended(index, seizure, server, outcome, wait, lag, final, report)
             if final:
                 self.over[index] = True
             return event
--- a/thorndale/interface.py
+++ b/thorndale/interface.py
@@ -10,7 +10,8 @@
 SERVING, DRAINING, GONE = 0, 1, 2
 
 # How a seizure ended.
-COMPLETED, BUSY, FULL, TIMED_OUT, UNREACHABLE, RESET, CANCELLED, NOT_SENT = range(8)
+# BUSY: all lines of the number are engaged; FAULTY: a signalling fault.
+COMPLETED, BUSY, FULL, TIMED_OUT, UNREACHABLE, RESET, CANCELLED, NOT_SENT, FAULTY = range(9)
 
 
 class Server(NamedTuple):
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -212,7 +212,7 @@
         sent_at = self.out[s].pop(event.call, None)
         if event.report:
             self._report(s, event.report)
-        if event.outcome in (io.TIMED_OUT, io.RESET, io.UNREACHABLE):
+        if event.outcome in (io.TIMED_OUT, io.RESET, io.UNREACHABLE, io.FAULTY):
             self._outcome(s, True)
         if event.outcome == io.TIMED_OUT or event.outcome == io.CANCELLED and sent_at is not None:
             self._observe(s, max(self._wait(s), event.lag_us))
