A proxy that stood still itself blames no server for the lag

A timer that comes late now marks such a batch. Harms where a server slows at the very moment of a stand-still: its lag is learned one answer later.

--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -35,6 +35,8 @@
 BAD_ODDS, GOOD_ODDS = 0.5, 0.02  # chance of a lost seizure at a failed and at a sound server: far apart
 FAILED_AT = 4.0  # log odds that call a server failed: two losses with no answer between
 SCORE_MOST = 8.0  # log odds kept at most, so that some dozen answers clear any server
+BEAT_US = 200_000  # us between timers at most while a call is held, so that a stand-still is seen
+HELD_UP_US = 100_000  # us that a timer is late when the proxy itself stood still: many ticks
 TRIAL_US = 1_000_000  # us between trials of a failed server: a tenth of the window
 COLD_DEPTH = 1.0  # set-ups that a cold server may get beyond the pace: the least whole one
 FRESH_OUT = 2  # seizures out at a server that has not answered this proxy yet: then it waits for one
@@ -62,6 +64,7 @@
         self.calls, self.touched, self.notes = {}, [], []
         self.given_up, self.given_up_at = {}, deque()  # key: when the call first came; (when to forget, key)
         self.alarms, self.armed, self.serial = [], 0, 0
+        self.held_up = False  # this proxy itself stood still: what the batch tells of times is its own delay
         # Figures about servers, each a list under the server's index.
         self.state, self.pool, self.started, self.skip_until = [], [], [], []
         self.firsts, self.retries, self.stands, self.slot = [], [], [], []  # slots, the last's number
@@ -80,6 +83,7 @@
 
     def handle(self, now, events):
         self.now = now
+        self.held_up = 0 < self.armed < now - HELD_UP_US
         for event in events:
             handler = self.on.get(type(event))
             if handler:
@@ -148,6 +152,9 @@
             self.free[s] = report.free
 
     def _observe(self, s, wait):
+        """Takes a lag as the server's wait, unless the proxy itself was held up and it may be the proxy's own."""
+        if self.held_up and wait > self._wait(s):
+            return
         self.wait[s], self.wait_at[s], self.ahead[s] = wait, self.now, len(self.out[s]) + 1
 
     def _outcome(self, s, lost):
@@ -212,7 +219,7 @@
         sent_at = self.out[s].pop(event.call, None)
         if event.report:
             self._report(s, event.report)
-        if event.outcome in (io.TIMED_OUT, io.RESET, io.UNREACHABLE, io.FAULTY):
+        if event.outcome in (io.RESET, io.UNREACHABLE, io.FAULTY) or event.outcome == io.TIMED_OUT and not self.held_up:
             self._outcome(s, True)
         if event.outcome == io.TIMED_OUT or event.outcome == io.CANCELLED and sent_at is not None:
             self._observe(s, max(self._wait(s), event.lag_us))
@@ -411,7 +418,7 @@
                 self._remember(held)
         self.touched, self.notes, self.list_wanted = [], [], False
         if self.alarms and (self.armed <= self.now or self.alarms[0][0] < self.armed):
-            self.armed = max(self.alarms[0][0], self.now + 1)
+            self.armed = min(max(self.alarms[0][0], self.now + 1), self.now + BEAT_US)
             actions.append(io.SetTimer(self.armed, 0))
         return actions
 
