Overtaken set-ups are lost, not queued; silent servers get rare trials

A set-up overtaken by an answered one no longer counts, and one set-up may try a silent server after 1 s, then 2, 4 and 8.

--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -37,7 +37,8 @@
 SCORE_MOST = 8.0  # log odds kept at most, so that some dozen answers clear any server
 BEAT_US = 200_000  # us between timers at most while a call is held, so that a stand-still is seen
 HELD_UP_US = 100_000  # us that a timer is late when the proxy itself stood still: many ticks
-TRIAL_US = 1_000_000  # us between trials of a failed server: a tenth of the window
+TRIAL_US = 1_000_000  # us from a set-up without answer to the first trial, doubled for each in vain
+TRIALS_MOST = 4  # after so many in vain the gap grows no more: 8 s, near the window
 COLD_DEPTH = 1.0  # set-ups that a cold server may get beyond the pace: the least whole one
 FRESH_OUT = 2  # seizures out at a server that has not answered this proxy yet: then it waits for one
 
@@ -70,7 +71,8 @@
         self.firsts, self.retries, self.stands, self.slot = [], [], [], []  # slots, the last's number
         self.out = []  # call: (when sent, seizures out with it), oldest first
         self.wait, self.wait_at, self.ahead, self.least = [], [], [], []  # lag seen, when, out then
-        self.score, self.trial_at, self.proven, self.free = [], [], [], []
+        self.silent, self.sent_at = [], []  # seizures sent since the last answer, when the last one was
+        self.score, self.proven, self.free = [], [], []
         self.tokens, self.tokens_at = [], []
         self.by_pool = {}
         self.mean_revenue, self.turned_at = 0.0, -TURNED_US
@@ -107,7 +109,7 @@
             for figures, first in (
                     (self.state, io.GONE), (self.pool, -1), (self.started, 0), (self.skip_until, 0),
                     (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.ahead, 1), (self.least, 1 << 60),
-                    (self.score, 0.0), (self.trial_at, 0), (self.proven, False),
+                    (self.score, 0.0), (self.silent, 0), (self.sent_at, 0), (self.proven, False),
                     (self.free, None), (self.tokens, 0.0), (self.tokens_at, 0)):
                 figures.append(first)
             for figures in (self.firsts, self.retries, self.stands):
@@ -204,11 +206,13 @@
     def _stood(self, event):
         s = event.server
         sent = self.out[s].pop(event.call, None)
+        if sent:  # what was sent before it and has no answer was lost on the way, and tells nothing of the wait
+            self.out[s] = {call: at for call, at in self.out[s].items() if at[0] >= sent[0]}
         self.least[s] = min(self.least[s], event.lag_us)
         self._observe(s, event.lag_us)
         self.ahead[s] = sent[1] if sent else len(self.out[s]) + 1
         self._outcome(s, False)
-        self.proven[s] = True
+        self.proven[s], self.silent[s] = True, 0
         self._count(self.stands, s)
         held = self.calls.get(event.call)
         if held and held.out == event.seizure:
@@ -221,8 +225,10 @@
             self._report(s, event.report)
         if event.outcome in (io.RESET, io.UNREACHABLE, io.FAULTY) or event.outcome == io.TIMED_OUT and not self.held_up:
             self._outcome(s, True)
-        if event.outcome == io.TIMED_OUT or event.outcome == io.CANCELLED and sent_at is not None:
+        if event.outcome in (io.TIMED_OUT, io.CANCELLED) and sent_at is not None:
             self._observe(s, max(self._wait(s), event.lag_us))
+        if event.outcome in (io.FULL, io.BUSY):
+            self.silent[s] = 0
         if event.outcome == io.FULL:
             self._observe(s, max(self._wait(s), event.wait_us, 2 * self.limit))
         if event.outcome in (io.FULL, io.TIMED_OUT):
@@ -281,11 +287,22 @@
     def _wait(self, s):
         """The wait that a new set-up would meet: the last lag seen, aged, scaled by the seizures out now
         against those out when that one left; and at least what the oldest one out has waited."""
+        if self._trial_due(s):
+            return 0
         aged = self.wait[s] - int((self.now - self.wait_at[s]) * DRAIN_RATE)
         aged = aged * (len(self.out[s]) + 1) // self.ahead[s]
         oldest = next(iter(self.out[s].values()), (self.now, 0))[0]
         return max(0, aged, self.now - oldest)
 
+    def _trial_due(self, s):
+        """Whether one set-up may try a server that has answered none since the last: ever later, the more it
+        was sent in vain. Guards against taking lost set-ups for a queue, and so idling a sound server; harms
+        the calls tried on a hung one."""
+        tried = self.silent[s]
+        if not tried and self.score[s] < FAILED_AT:
+            return False
+        return self.now >= self.sent_at[s] + (TRIAL_US << max(0, min(tried, TRIALS_MOST) - 1))
+
     def _cold(self, s):
         return self.started[s] > 0 and self.now < self.started[s] + self.settings["warm_up_us"]
 
@@ -309,7 +326,7 @@
             self.tokens_at[s] = self.now
             if self.tokens[s] < 1.0:
                 return False
-        if self.score[s] >= FAILED_AT and (out or self.now < self.trial_at[s] + TRIAL_US):
+        if self.score[s] >= FAILED_AT and not self._trial_due(s):
             return False
         return self.proven[s] or out < FRESH_OUT
 
@@ -386,8 +403,8 @@
         self.out[s][held.call] = (self.now, len(self.out[s]) + 1)
         if self._cold(s):
             self.tokens[s] = max(0.0, self.tokens[s] - 1.0)
-        if self._cold(s) or self.score[s] >= FAILED_AT:
-            self.trial_at[s] = self.now
+        self.silent[s] += 1
+        self.sent_at[s] = self.now
 
     def _alarm(self, at, held):
         self.serial += 1
