--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -38,7 +38,7 @@
 BEAT_US = 200_000  # us between timers at most while a call is held, so that a stand-still is seen
 HELD_UP_US = 100_000  # us that a timer is late when the proxy itself stood still: many ticks
 TRIAL_US = 1_000_000  # us from a set-up without answer to the first trial, doubled for each in vain
-TRIALS_MOST = 4  # after so many in vain the gap grows no more: 8 s, near the window
+TRIALS_MOST = 3  # after so many in vain the gap grows no more: 16 s
 COLD_DEPTH = 1.0  # set-ups that a cold server may get beyond the pace: the least whole one
 FRESH_OUT = 2  # seizures out at a server that has not answered this proxy yet: then it waits for one
 
@@ -301,7 +301,7 @@
         tried = self.silent[s]
         if not tried and self.score[s] < FAILED_AT:
             return False
-        return self.now >= self.sent_at[s] + (TRIAL_US << max(0, min(tried, TRIALS_MOST) - 1))
+        return self.now >= self.sent_at[s] + (TRIAL_US << 2 * max(0, min(tried, TRIALS_MOST) - 1))
 
     def _cold(self, s):
         return self.started[s] > 0 and self.now < self.started[s] + self.settings["warm_up_us"]
