--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -25,8 +25,7 @@
 WAIT_MOST_US = 2_000_000  # us, most of any wait: the design's
 SKIP_US = 1_000_000  # us that a server which was full or timed out is skipped: the design's
 TICKS_SPARE = 2  # ticks before the caller gives up at which the final answer is due: one may be under way
-PRESS_FROM = 0.3  # standing below which any press turns a call away: redials, over quota
-PRESS_LOW = 2.0  # share of the limit, times a call's standing (0 to 1), from which some calls are turned away
+PRESS_FROM = 0.1  # taken off a call's standing (0 to 1): the share of the limit at which it may first go
 PRESS_NONE = 0.1  # share of the limit below which nothing is turned away
 PRESS_SPAN = 0.3  # share of the limit over which the turning away grows from none to all; wide, or it swings
 DRAIN_RATE = 0.5  # us a us by which an estimate ages: a processor left alone sheds 1, others still send to it
@@ -350,7 +349,7 @@
         revenue against the mean go first, and a growing share of them, or proxies that see the same would
         swing together. Guards against any lack of capacity: bursts, slow servers, lost servers."""
         standing = held.revenue / (held.revenue + self.mean_revenue) if held.revenue > 0 else 0.0
-        low = PRESS_LOW * (standing - PRESS_FROM)
+        low = standing - PRESS_FROM
         share = (self._wait(s) - (self.least[s] if self.proven[s] else 0)) / max(1, self.limit)
         return share > PRESS_NONE and self._chance() * PRESS_SPAN < share - low
 
