A pool without a free line is told from a full processor; its calls hold redials back

Each 'no line' was booked as a long wait at its processor, all traffic moved to two small servers for a second and drowned them. Now it is skipped until told free or for the skip time, and says nothing of the wait; a first try given back holds redials back as one turned away does.

--- a/thorndale/adapter/door.py
+++ b/thorndale/adapter/door.py
@@ -18,6 +18,8 @@
     "recalled": ours.CANCELLED,
     "superseded": ours.NOT_SENT,
 }
+# Outcomes that the cause tells apart: all lines of the number engaged, no free line in the pool.
+TOLD = {("errored", 4): ours.BUSY, ("saturated", 1): ours.EMPTY}
 
 
 def _listed(info, path, parse, default=None):
@@ -141,7 +143,7 @@
                 return None
             self.out[index] -= 1
             wait = (cause >> 4) * 1000 if code == "saturated" and cause & 15 == 3 else 0
-            outcome = ours.BUSY if code == "errored" and cause & 15 == 4 else OUTCOMES[code]
+            outcome = TOLD.get((code, cause & 15), OUTCOMES[code])
             event = ours.Ended(index, seizure, server, outcome, wait, lag, final, report)
             if final:
                 self.over[index] = True
--- a/thorndale/interface.py
+++ b/thorndale/interface.py
@@ -10,8 +10,9 @@
 SERVING, DRAINING, GONE = 0, 1, 2
 
 # How a seizure ended.
-# BUSY: all lines of the number are engaged; FAULTY: a signalling fault.
-COMPLETED, BUSY, FULL, TIMED_OUT, UNREACHABLE, RESET, CANCELLED, NOT_SENT, FAULTY = range(9)
+# BUSY: all lines of the number are engaged; FAULTY: a signalling fault; FULL: the processor is full;
+# EMPTY: the pool has no free line.
+COMPLETED, BUSY, FULL, TIMED_OUT, UNREACHABLE, RESET, CANCELLED, NOT_SENT, FAULTY, EMPTY = range(10)
 
 
 class Server(NamedTuple):
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -28,7 +28,7 @@
 PRESS_FROM = 0.1  # taken off a call's standing (0 to 1): the share of the limit at which it may first go
 PRESS_NONE = 0.1  # share of the limit below which nothing is turned away
 PRESS_SPAN = 0.3  # share of the limit over which the turning away grows from none to all; wide, or it swings
-DRAIN_RATE = 0.35  # us a us by which an estimate ages: a processor left alone sheds 1, others still send to it
+DRAIN_RATE = 0.35  # us a us by which an estimate ages: left alone a processor sheds 1, but others send
 TURNED_US = 4_000_000  # us after a call of full revenue was turned away in which no lesser one is taken
 MEAN_PART = 0.02  # weight of a call in the mean revenue: some 50 calls, a few seconds of one proxy
 BAD_ODDS, GOOD_ODDS = 0.5, 0.02  # chance of a lost seizure at a failed and at a sound server: far apart
@@ -44,8 +44,8 @@
 
 class Held:
     """A call that this proxy owes an answer."""
-    __slots__ = ("call", "kind", "client", "pool", "key", "redial", "first", "revenue", "came", "last", "sent", "out",
-                 "server", "failed_at", "resume", "release", "stood", "want", "arg")
+    __slots__ = ("call", "kind", "client", "pool", "key", "redial", "first", "revenue", "came", "last",
+                 "sent", "out", "server", "failed_at", "resume", "release", "stood", "want", "arg")
 
     def __init__(self, event, now):
         self.call, self.kind, self.client, self.pool = event.call, event.call_type, event.client, event.pool
@@ -66,7 +66,7 @@
         self.alarms, self.armed, self.serial = [], 0, 0
         self.held_up = False  # this proxy itself stood still: what the batch tells of times is its own delay
         # Figures about servers, each a list under the server's index.
-        self.state, self.pool, self.started, self.skip_until = [], [], [], []
+        self.state, self.pool, self.started, self.skip_until, self.empty_until = [], [], [], [], []
         self.firsts, self.retries, self.stands, self.slot = [], [], [], []  # slots, the last's number
         self.out = []  # call: (when sent, seizures out with it), oldest first
         self.wait, self.wait_at, self.ahead, self.least = [], [], [], []  # lag seen, when, out then
@@ -107,8 +107,9 @@
         while len(self.state) <= server:
             for figures, first in (
                     (self.state, io.GONE), (self.pool, -1), (self.started, 0), (self.skip_until, 0),
-                    (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.ahead, 1), (self.least, 1 << 60),
-                    (self.score, 0.0), (self.silent, 0), (self.sent_at, 0), (self.proven, False),
+                    (self.empty_until, 0), (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.ahead, 1),
+                    (self.least, 1 << 60), (self.score, 0.0),
+                    (self.silent, 0), (self.sent_at, 0), (self.proven, False),
                     (self.free, None), (self.tokens, 0.0), (self.tokens_at, 0)):
                 figures.append(first)
             for figures in (self.firsts, self.retries, self.stands):
@@ -151,9 +152,11 @@
     def _report(self, s, report):
         if report.free is not None:
             self.free[s] = report.free
+            if report.free > 0:
+                self.empty_until[s] = 0
 
     def _observe(self, s, wait):
-        """Takes a lag as the server's wait, unless the proxy itself was held up and it may be the proxy's own."""
+        """Takes a lag as the server's wait, unless this proxy was held up and it may be its own delay."""
         if self.held_up and wait > self._wait(s):
             return
         self.wait[s], self.wait_at[s], self.ahead[s] = wait, self.now, len(self.out[s]) + 1
@@ -205,7 +208,7 @@
     def _stood(self, event):
         s = event.server
         sent = self.out[s].pop(event.call, None)
-        if sent:  # what was sent before it and has no answer was lost on the way, and tells nothing of the wait
+        if sent:  # what was sent before it and has no answer was lost on the way: it tells no wait
             self.out[s] = {call: at for call, at in self.out[s].items() if at[0] >= sent[0]}
         self.least[s] = min(self.least[s], event.lag_us)
         self._observe(s, event.lag_us)
@@ -222,14 +225,17 @@
         sent_at = self.out[s].pop(event.call, None)
         if event.report:
             self._report(s, event.report)
-        if event.outcome in (io.RESET, io.UNREACHABLE, io.FAULTY) or event.outcome == io.TIMED_OUT and not self.held_up:
+        late = event.outcome == io.TIMED_OUT and not self.held_up
+        if late or event.outcome in (io.RESET, io.UNREACHABLE, io.FAULTY):
             self._outcome(s, True)
         if event.outcome in (io.TIMED_OUT, io.CANCELLED) and sent_at is not None:
             self._observe(s, max(self._wait(s), event.lag_us))
-        if event.outcome in (io.FULL, io.BUSY):
+        if event.outcome in (io.FULL, io.BUSY, io.EMPTY):
             self.silent[s] = 0
         if event.outcome == io.FULL:
             self._observe(s, max(self._wait(s), event.wait_us, 2 * self.limit))
+        if event.outcome == io.EMPTY:
+            self.empty_until[s] = self.now + SKIP_US
         if event.outcome in (io.FULL, io.TIMED_OUT):
             self.skip_until[s] = self.now + SKIP_US
         if held is None or held.out != event.seizure:
@@ -336,7 +342,8 @@
         turn = [held.pool] + [p for p in allowed if p > held.pool] + [p for p in allowed if p < held.pool]
         servers = [s for p in turn for s in self.by_pool.get(p, ())]
         open_ = [s for s in servers if self._has_room(s)]
-        fit = [s for s in open_ if s != avoid and self.skip_until[s] <= self.now and self.free[s] != 0]
+        fit = [s for s in open_ if s != avoid and max(self.skip_until[s], self.empty_until[s]) <= self.now
+               and self.free[s] != 0]
         for s in fit:
             if self._wait(s) <= self.limit * 0.3:
                 return s
@@ -365,13 +372,10 @@
             held.want = "keep"
         elif held.want == "new":
             s = self._route(held)
-            full = held.first
-            if not full and self.now < self.turned_at + TURNED_US:
+            if not held.first and self.now < self.turned_at + TURNED_US:
                 held.want = "reject"
             elif s < 0 or self._pressed(held, s):
-                held.want = "reject"
-                if full and held.revenue >= self.settings["type_revenue"][held.kind]:
-                    self.turned_at = self.now
+                self._turn_away(held)
             else:
                 if not held.redial:
                     self._count(self.firsts, s)
@@ -381,7 +385,7 @@
             s = self._route(held, held.failed_at)
             most = min(SEIZURES, self.settings["seizures_max"])
             if held.sent >= most or s < 0 or not self._grant(s):
-                held.want = "reject"
+                self._turn_away(held)
                 return
             most = min(WAIT_MOST_US, WAIT_BASE_US << held.sent - 1)
             resume = max(self.now + int(self._chance() * most), held.release)
@@ -398,6 +402,11 @@
                 held.want = "seize"
                 self._reserve(held, s)
 
+    def _turn_away(self, held):
+        held.want = "reject"
+        if held.first and held.revenue >= self.settings["type_revenue"][held.kind]:
+            self.turned_at = self.now
+
     def _reserve(self, held, s):
         self.out[s][held.call] = (self.now, len(self.out[s]) + 1)
         if self._cold(s):
