--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -45,7 +45,7 @@
 class Held:
     """A call that this proxy owes an answer."""
     __slots__ = ("call", "kind", "client", "pool", "key", "redial", "first", "revenue", "came", "last",
-                 "sent", "out", "server", "failed_at", "resume", "release", "stood", "want", "arg")
+                 "sent", "out", "server", "failed_at", "lack", "resume", "release", "stood", "want", "arg")
 
     def __init__(self, event, now):
         self.call, self.kind, self.client, self.pool = event.call, event.call_type, event.client, event.pool
@@ -54,7 +54,7 @@
         self.came, self.last = now, now + event.left_us
         self.sent, self.out, self.server, self.failed_at = 0, -1, -1, -1
         self.resume = self.release = 0
-        self.revenue, self.stood = 0.0, False
+        self.revenue, self.stood, self.lack = 0.0, False, True  # lack: it is given back for want of room
         self.want, self.arg = "new", 0
 
 
@@ -244,6 +244,7 @@
             del self.calls[event.call]
             return
         held.out, held.stood, held.failed_at = -1, False, s
+        held.lack = event.outcome in (io.FULL, io.EMPTY)
         if event.outcome in (io.TIMED_OUT, io.RESET, io.CANCELLED):
             held.release = self.now + self.settings["release_us"]
         held.want = "fail" if event.outcome in (io.COMPLETED, io.BUSY) else "again"
@@ -404,7 +405,7 @@
 
     def _turn_away(self, held):
         held.want = "reject"
-        if held.first and held.revenue >= self.settings["type_revenue"][held.kind]:
+        if held.lack and held.first and held.revenue >= self.settings["type_revenue"][held.kind]:
             self.turned_at = self.now
 
     def _reserve(self, held, s):
