--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -385,7 +385,7 @@
         elif held.want == "again":
             s = self._route(held, held.failed_at)
             most = min(SEIZURES, self.settings["seizures_max"])
-            if held.sent >= most or s < 0 or not self._grant(s):
+            if held.sent >= most or s < 0 or self._pressed(held, s) or not self._grant(s):
                 self._turn_away(held)
                 return
             most = min(WAIT_MOST_US, WAIT_BASE_US << held.sent - 1)
