--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -30,6 +30,7 @@
 PRESS_SPAN = 0.3  # share of the limit over which the turning away grows from none to all; wide, or it swings
 DRAIN_RATE = 0.35  # us a us by which an estimate ages: left alone a processor sheds 1, but others send
 TURNED_US = 4_000_000  # us after a call of full revenue was turned away in which no lesser one is taken
+STALE_US = 500_000  # us after the last own observation from which a load report is taken in its place
 MEAN_PART = 0.02  # weight of a call in the mean revenue: some 50 calls, a few seconds of one proxy
 BAD_ODDS, GOOD_ODDS = 0.5, 0.02  # chance of a lost seizure at a failed and at a sound server: far apart
 FAILED_AT = 4.0  # log odds that call a server failed: two losses with no answer between
@@ -71,7 +72,7 @@
         self.out = []  # call: (when sent, seizures out with it), oldest first
         self.wait, self.wait_at, self.ahead, self.least = [], [], [], []  # lag seen, when, out then
         self.silent, self.sent_at = [], []  # seizures sent since the last answer, when the last one was
-        self.score, self.proven, self.free = [], [], []
+        self.score, self.proven, self.free, self.told = [], [], [], []
         self.tokens, self.tokens_at = [], []
         self.by_pool = {}
         self.mean_revenue, self.turned_at = 0.0, -TURNED_US
@@ -110,7 +111,7 @@
                     (self.empty_until, 0), (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.ahead, 1),
                     (self.least, 1 << 60), (self.score, 0.0),
                     (self.silent, 0), (self.sent_at, 0), (self.proven, False),
-                    (self.free, None), (self.tokens, 0.0), (self.tokens_at, 0)):
+                    (self.free, None), (self.told, None), (self.tokens, 0.0), (self.tokens_at, 0)):
                 figures.append(first)
             for figures in (self.firsts, self.retries, self.stands):
                 figures.append([0] * SLOTS)
@@ -154,6 +155,10 @@
             self.free[s] = report.free
             if report.free > 0:
                 self.empty_until[s] = 0
+        if report.wait_us is not None and report.wait_us != self.told[s]:
+            self.told[s] = report.wait_us
+            if self.now >= self.wait_at[s] + STALE_US and self.proven[s]:
+                self._observe(s, self.least[s] + report.wait_us)
 
     def _observe(self, s, wait):
         """Takes a lag as the server's wait, unless this proxy was held up and it may be its own delay."""
