--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -72,7 +72,7 @@
         self.out = []  # call: (when sent, seizures out with it), oldest first
         self.wait, self.wait_at, self.ahead, self.least = [], [], [], []  # lag seen, when, out then
         self.silent, self.sent_at = [], []  # seizures sent since the last answer, when the last one was
-        self.score, self.proven, self.free, self.told = [], [], [], []
+        self.score, self.proven, self.free, self.told, self.rate = [], [], [], [], []
         self.tokens, self.tokens_at = [], []
         self.by_pool = {}
         self.mean_revenue, self.turned_at = 0.0, -TURNED_US
@@ -111,7 +111,8 @@
                     (self.empty_until, 0), (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.ahead, 1),
                     (self.least, 1 << 60), (self.score, 0.0),
                     (self.silent, 0), (self.sent_at, 0), (self.proven, False),
-                    (self.free, None), (self.told, None), (self.tokens, 0.0), (self.tokens_at, 0)):
+                    (self.free, None), (self.told, None), (self.rate, 0.0), (self.tokens, 0.0),
+                    (self.tokens_at, 0)):
                 figures.append(first)
             for figures in (self.firsts, self.retries, self.stands):
                 figures.append([0] * SLOTS)
@@ -126,7 +127,8 @@
             if entry.started_us != self.started[s] and entry.state == io.SERVING:
                 # A new process: what was learned of the old one is void, and it may be cold.
                 self.started[s], self.score[s], self.proven[s] = entry.started_us, 0.0, False
-                self.tokens[s], self.tokens_at[s], self.wait[s] = self._chance(), self.now, 0
+                self.tokens[s], self.tokens_at[s] = self._chance(), self.now
+                self.wait[s], self.rate[s] = 0, 0.0
             self._state(s, entry.state)
             self.pool[s] = entry.pool
         if event.whole:
@@ -155,6 +157,7 @@
             self.free[s] = report.free
             if report.free > 0:
                 self.empty_until[s] = 0
+        self.rate[s] = report.rate or self.rate[s]
         if report.wait_us is not None and report.wait_us != self.told[s]:
             self.told[s] = report.wait_us
             if self.now >= self.wait_at[s] + STALE_US and self.proven[s]:
@@ -319,7 +322,10 @@
 
     def _pace(self, s):
         """Set-ups a second that this proxy may send to cold server s: its own part of what a warm server
-        takes (its own answered ones per warm server, so that all parts add up to no more), times warmth."""
+        takes (its own answered ones per warm server, so that all parts add up to no more), times warmth.
+        Where the cold one itself has told what it can take, a proxy's equal part of that."""
+        if self.rate[s]:
+            return self.rate[s] / max(1, self.settings["instances"])
         warm = [w for w in range(len(self.state)) if self.state[w] == io.SERVING and not self._cold(w)]
         for w in warm:
             self._roll(w)
