A cold server's pace may grow by half of what it answered in the last second

Cause: the pace came from other servers, however large or small the cold one is. Its own answers tell; half more than those stays within the stated multiple.

--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -332,7 +332,10 @@
         own = sum(sum(self.stands[w]) for w in warm) / max(1, len(warm)) / (SLOTS * SLOT_US / 1e6)
         start = self.settings["start_capacity"]
         own = max(own, 1e6 / self.settings["fall_us"])
-        return own * (start + (1 - start) * (self.now - self.started[s]) / self.settings["warm_up_us"])
+        own *= start + (1 - start) * (self.now - self.started[s]) / self.settings["warm_up_us"]
+        at = self._roll(s)
+        answered = max(self.stands[s][at], self.stands[s][at - 1]) / (SLOT_US / 1e6)
+        return max(own, (1 + self.settings["fall_multiple"]) / 2 * answered)
 
     def _has_room(self, s):
         """Whether the guards let a set-up go to server s now; press apart."""
