--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -70,7 +70,8 @@
         self.state, self.pool, self.started, self.skip_until, self.empty_until = [], [], [], [], []
         self.firsts, self.retries, self.stands, self.slot = [], [], [], []  # slots, the last's number
         self.out = []  # call: (when sent, seizures out with it), oldest first
-        self.wait, self.wait_at, self.ahead, self.least = [], [], [], []  # lag seen, when, out then
+        self.wait, self.wait_at, self.ahead = [], [], []  # lag taken, when, seizures out then
+        self.lag, self.least = [], []  # last lag of an answer, least
         self.silent, self.sent_at = [], []  # seizures sent since the last answer, when the last one was
         self.score, self.proven, self.free, self.told, self.rate = [], [], [], [], []
         self.tokens, self.tokens_at = [], []
@@ -109,10 +110,9 @@
             for figures, first in (
                     (self.state, io.GONE), (self.pool, -1), (self.started, 0), (self.skip_until, 0),
                     (self.empty_until, 0), (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.ahead, 1),
-                    (self.least, 1 << 60), (self.score, 0.0),
-                    (self.silent, 0), (self.sent_at, 0), (self.proven, False),
-                    (self.free, None), (self.told, None), (self.rate, 0.0), (self.tokens, 0.0),
-                    (self.tokens_at, 0)):
+                    (self.lag, 0), (self.least, 1 << 60), (self.score, 0.0), (self.silent, 0),
+                    (self.sent_at, 0), (self.proven, False), (self.free, None), (self.told, None),
+                    (self.rate, 0.0), (self.tokens, 0.0), (self.tokens_at, 0)):
                 figures.append(first)
             for figures in (self.firsts, self.retries, self.stands):
                 figures.append([0] * SLOTS)
@@ -219,6 +219,7 @@
         if sent:  # what was sent before it and has no answer was lost on the way: it tells no wait
             self.out[s] = {call: at for call, at in self.out[s].items() if at[0] >= sent[0]}
         self.least[s] = min(self.least[s], event.lag_us)
+        self.lag[s] = event.lag_us
         self._observe(s, event.lag_us)
         self.ahead[s] = sent[1] if sent else len(self.out[s]) + 1
         self._outcome(s, False)
@@ -311,11 +312,12 @@
     def _trial_due(self, s):
         """Whether one set-up may try a server that has answered none since the last: ever later, the more it
         was sent in vain. Guards against taking lost set-ups for a queue, and so idling a sound server; harms
-        the calls tried on a hung one."""
+        the calls tried on a hung one. A server that is merely slow gets twice its last lag to answer."""
         tried = self.silent[s]
         if not tried and self.score[s] < FAILED_AT:
             return False
-        return self.now >= self.sent_at[s] + (TRIAL_US << 2 * max(0, min(tried, TRIALS_MOST) - 1))
+        gap = max(2 * self.lag[s], TRIAL_US << 2 * max(0, min(tried, TRIALS_MOST) - 1))
+        return self.now >= self.sent_at[s] + gap
 
     def _cold(self, s):
         return self.started[s] > 0 and self.now < self.started[s] + self.settings["warm_up_us"]
