Cold servers' token buckets hold a quarter second of the pace beyond one

Cause: with a depth of one, calls that come at random lose a good part of the pace and its growth stalls.

--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -39,7 +39,7 @@
 HELD_UP_US = 100_000  # us that a timer is late when the proxy itself stood still: many ticks
 TRIAL_US = 1_000_000  # us from a set-up without answer to the first trial, doubled for each in vain
 TRIALS_MOST = 3  # after so many in vain the gap grows no more: 16 s
-COLD_DEPTH = 1.0  # set-ups that a cold server may get beyond the pace: the least whole one
+COLD_DEPTH_US = 250_000  # us of the pace that a cold server may get at once beyond one: a sixth of a fall
 FRESH_OUT = 2  # seizures out at a server that has not answered this proxy yet: then it waits for one
 
 
@@ -344,7 +344,8 @@
         out = len(self.out[s])
         if self._cold(s):
             pace = self._pace(s)
-            self.tokens[s] = min(COLD_DEPTH, self.tokens[s] + (self.now - self.tokens_at[s]) * pace / 1e6)
+            depth = 1 + pace * COLD_DEPTH_US / 1e6
+            self.tokens[s] = min(depth, self.tokens[s] + (self.now - self.tokens_at[s]) * pace / 1e6)
             self.tokens_at[s] = self.now
             if self.tokens[s] < 1.0:
                 return False
