--- a/thorndale/adapter/door.py
+++ b/thorndale/adapter/door.py
@@ -68,7 +68,8 @@
 
 
 class Door:
-    def __init__(self):
+    def __init__(self, types):
+        self.types = types
         self.servers, self.server_ids = {}, []
         self.calls, self.call_ids, self.spare = {}, [], []
         self.out, self.over = [], []
@@ -107,6 +108,9 @@
             tid = f.need(fields, "tid", f.whole)
             if tid in self.calls:
                 raise f.BadInput(f"call {tid} was given before")
+            kind = f.need(fields, "priority", f.whole)
+            if not 0 <= kind < self.types:
+                raise f.BadInput(f"class {kind} is not in the settings")
             if self.spare:
                 index = self.spare.pop()
                 self.call_ids[index], self.out[index], self.over[index] = tid, 0, False
@@ -118,7 +122,7 @@
             self.calls[tid] = index
             return ours.Call(
                 index,
-                f.need(fields, "priority", f.whole),
+                kind,
                 f.maybe(fields, "realm", f.whole, 0),
                 f.maybe(fields, "nameKey", f.hexkey, 0),
                 f.need(fields, "leftMs", f.micros),
--- a/thorndale/adapter/host.py
+++ b/thorndale/adapter/host.py
@@ -11,8 +11,9 @@
 
     def _boot(self, number, fields):
         info = {k: v for k, v in fields.items() if k not in ("proxy", "seed")}
-        self.doors[number] = Door()
-        self.proxies[number] = Proxy(f.need(fields, "seed", f.whole), settings(info))
+        known = settings(info)
+        self.doors[number] = Door(len(known["type_revenue"]))
+        self.proxies[number] = Proxy(f.need(fields, "seed", f.whole), known)
 
     def run(self, now_us, lines):
         """Lines of one batch, each with its number, to the lines of the reply."""
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -26,21 +26,24 @@
 SKIP_US = 1_000_000  # us that a server which was full or timed out is skipped: the design's
 TICKS_SPARE = 2  # ticks before the caller gives up at which the final answer is due: one may be under way
 PRESS_FROM = 0.1  # taken off a call's standing (0 to 1): the share of the limit at which it may first go
-PRESS_NONE = 0.1  # share of the limit below which nothing is turned away
+PRESS_NONE = 0.1  # share of the limit below which nothing is turned away: chance, not press
+PRESS_LEAVE = 0.3  # share of the limit from which a call looks for a pool below it: early, before any is lost
 PRESS_SPAN = 0.3  # share of the limit over which the turning away grows from none to all; wide, or it swings
 DRAIN_RATE = 0.35  # us a us by which an estimate ages: left alone a processor sheds 1, but others send
-TURNED_US = 4_000_000  # us after a call of full revenue was turned away in which no lesser one is taken
-STALE_US = 500_000  # us after the last own observation from which a load report is taken in its place
+TURNED_US = 4_000_000  # us after a first try was turned away in which no redial is taken: a few redial waits
+STALE_US = 500_000  # us since the last own observation from which a load report is as fresh
 MEAN_PART = 0.02  # weight of a call in the mean revenue: some 50 calls, a few seconds of one proxy
 BAD_ODDS, GOOD_ODDS = 0.5, 0.02  # chance of a lost seizure at a failed and at a sound server: far apart
 FAILED_AT = 4.0  # log odds that call a server failed: two losses with no answer between
 SCORE_MOST = 8.0  # log odds kept at most, so that some dozen answers clear any server
 BEAT_US = 200_000  # us between timers at most while a call is held, so that a stand-still is seen
 HELD_UP_US = 100_000  # us that a timer is late when the proxy itself stood still: many ticks
-TRIAL_US = 1_000_000  # us from a set-up without answer to the first trial, doubled for each in vain
-TRIALS_MOST = 3  # after so many in vain the gap grows no more: 16 s
-COLD_DEPTH_US = 250_000  # us of the pace that a cold server may get at once beyond one: a sixth of a fall
-FRESH_OUT = 2  # seizures out at a server that has not answered this proxy yet: then it waits for one
+TRIAL_US = 1_000_000  # us from a set-up without answer to the first trial, fourfold after each in vain
+TRIALS_MOST = 3  # sends in vain after which the gap grows no more: 16 s, past most stand-stills
+COLD_DEPTH_US = 250_000  # us of the pace that a cold server may get at once beyond one: calls come unevenly
+QUOTA_US = 1_000_000  # us of a client's quota part that may come at once
+LOST = (io.RESET, io.UNREACHABLE, io.FAULTY)  # outcomes that a sound server seldom gives
+FRESH_OUT = 2  # seizures out at most at a server that has not answered this proxy yet
 
 
 class Held:
@@ -128,7 +131,7 @@
                 # A new process: what was learned of the old one is void, and it may be cold.
                 self.started[s], self.score[s], self.proven[s] = entry.started_us, 0.0, False
                 self.tokens[s], self.tokens_at[s] = self._chance(), self.now
-                self.wait[s], self.rate[s] = 0, 0.0
+                self.wait[s], self.rate[s], self.silent[s], self.out[s] = 0, 0.0, 0, {}
             self._state(s, entry.state)
             self.pool[s] = entry.pool
         if event.whole:
@@ -163,11 +166,10 @@
             if self.now >= self.wait_at[s] + STALE_US and self.proven[s]:
                 self._observe(s, self.least[s] + report.wait_us)
 
-    def _observe(self, s, wait):
+    def _observe(self, s, wait, ahead=0):
         """Takes a lag as the server's wait, unless this proxy was held up and it may be its own delay."""
-        if self.held_up and wait > self._wait(s):
-            return
-        self.wait[s], self.wait_at[s], self.ahead[s] = wait, self.now, len(self.out[s]) + 1
+        if not self.held_up or wait <= self._wait(s):
+            self.wait[s], self.wait_at[s], self.ahead[s] = wait, self.now, ahead or len(self.out[s]) + 1
 
     def _outcome(self, s, lost):
         """Sequential test (CUSUM of log odds) on outcomes. Guards against a server that takes set-ups and
@@ -203,11 +205,12 @@
         self._alarm(held.last, held)
 
     def _within_quota(self, client):
-        """This proxy's part of a client's quota, as a bucket one second deep."""
+        """This proxy's part of a client's quota, as a bucket QUOTA_US deep."""
         quotas, n = self.settings["client_quota"], max(1, self.settings["instances"])
         passed, self.quota_at = self.now - self.quota_at, self.now
         for c, quota in enumerate(quotas):
-            self.quota[c] = min(max(1.0, quota / n), self.quota[c] + quota / n * passed / 1e6)
+            part = quota / n / 1e6
+            self.quota[c] = min(max(1.0, part * QUOTA_US), self.quota[c] + part * passed)
         if client >= len(quotas) or self.quota[client] < 1.0:
             return client >= len(quotas)
         self.quota[client] -= 1.0
@@ -220,8 +223,7 @@
             self.out[s] = {call: at for call, at in self.out[s].items() if at[0] >= sent[0]}
         self.least[s] = min(self.least[s], event.lag_us)
         self.lag[s] = event.lag_us
-        self._observe(s, event.lag_us)
-        self.ahead[s] = sent[1] if sent else len(self.out[s]) + 1
+        self._observe(s, event.lag_us, sent[1] if sent else 0)
         self._outcome(s, False)
         self.proven[s], self.silent[s] = True, 0
         self._count(self.stands, s)
@@ -234,10 +236,10 @@
         sent_at = self.out[s].pop(event.call, None)
         if event.report:
             self._report(s, event.report)
-        late = event.outcome == io.TIMED_OUT and not self.held_up
-        if late or event.outcome in (io.RESET, io.UNREACHABLE, io.FAULTY):
+        late = event.outcome in (io.TIMED_OUT, io.CANCELLED)  # cancelled only when its caller gives up
+        if late and event.lag_us >= self.limit and not self.held_up or event.outcome in LOST:
             self._outcome(s, True)
-        if event.outcome in (io.TIMED_OUT, io.CANCELLED) and sent_at is not None:
+        if late and sent_at is not None:
             self._observe(s, max(self._wait(s), event.lag_us))
         if event.outcome in (io.FULL, io.BUSY, io.EMPTY):
             self.silent[s] = 0
@@ -357,13 +359,13 @@
         """First choice unless skipped, told empty or barred by a guard, else the others in turn; -1: none."""
         pools = self.settings["type_pools"]
         allowed = pools[held.kind] if held.kind < len(pools) else list(self.by_pool)
-        turn = [held.pool] + [p for p in allowed if p > held.pool] + [p for p in allowed if p < held.pool]
+        turn = sorted(allowed, key=lambda p: (p != held.pool, p < held.pool, p))
         servers = [s for p in turn for s in self.by_pool.get(p, ())]
         open_ = [s for s in servers if self._has_room(s)]
         fit = [s for s in open_ if s != avoid and max(self.skip_until[s], self.empty_until[s]) <= self.now
                and self.free[s] != 0]
         for s in fit:
-            if self._wait(s) <= self.limit * 0.3:
+            if self._wait(s) <= self.limit * PRESS_LEAVE:
                 return s
         if fit:
             return min(fit, key=self._wait)
