--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -59,6 +59,7 @@
     proxy, twin, model = Proxy(seed, conf), Proxy(seed, conf), Model(conf)
     now, number, timers, due = 50 * S, 0, [], []  # due: (when, event)
     lots, loss, end = rand.uniform(2, 20), rand.choice([0.02, 0.3, 0.8]), now + 40 * S
+    bads = rand.choice([BAD, (io.EMPTY,)])  # no line: neither press nor failure, all is retried
     servers = {s: [s % 3, io.SERVING, 0] for s in range(rand.randint(1, 4))}
     batch = [io.Servers(tuple(io.Server(s, *figures) for s, figures in servers.items()), True, True)]
     model.state = {s: io.SERVING for s in servers}
@@ -69,7 +70,7 @@
             batch.append(io.Call(number, rand.randrange(2), rand.randrange(2), rand.randrange(50), left,
                                  rand.randrange(3), redial, False))
             model.called(now, batch[-1])
-        if rand.random() < 0.003:
+        if rand.random() < 0.01:
             s = rand.choice(list(servers))
             state = model.state[s] = rand.choice([io.SERVING, io.SERVING, io.DRAINING, io.GONE])
             started = now if state == io.SERVING and rand.random() < 0.5 else servers[s][2]
@@ -97,7 +98,7 @@
             if type(action) is io.Cancel:
                 due.append((now, io.Ended(*action, call["out"][1], io.CANCELLED, 0, lag, False, None)))
             elif type(action) is io.Seize:
-                seizure, bad = call["sent"] - 1, rand.choice(BAD)
+                seizure, bad = call["sent"] - 1, rand.choice(bads)
                 end_of = io.Ended(action.call, seizure, action.server, bad, 0, lag, False, None)
                 if rand.random() < loss or lag >= action.timeout_us:
                     late = end_of.outcome == io.TIMED_OUT or lag > action.timeout_us
