--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -241,7 +241,7 @@
             self._outcome(s, True)
         if late and sent_at is not None:
             self._observe(s, max(self._wait(s), event.lag_us))
-        if event.outcome in (io.FULL, io.BUSY, io.EMPTY):
+        if event.outcome in (io.FULL, io.BUSY):
             self.silent[s] = 0
         if event.outcome == io.FULL:
             self._observe(s, max(self._wait(s), event.wait_us, 2 * self.limit))
