Calls cut one by one make a server skipped, not failed

Guards against any trouble that cuts calls without stopping set-ups; harms where a server dies slowly.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -196,3 +196,15 @@
     assert 3 <= len(tried) <= 10 and tried[-1] - tried[-2] >= 8 * S
     bench.tell(io.Server(0, 0, io.SERVING, bench.now))
     assert bench.proxy._wait(0) == 0 and not bench.proxy.out[0] and bench.proxy.score[0] == 0
+
+
+def test_calls_cut_one_by_one_leave_a_server_in_use_and_many_at_once_do_not():
+    bench = Bench(1)
+    for gap, failed in ((S, False), (MS, True)):
+        for _ in range(4):
+            bench.call()
+            bench.stood(bench.next, 0)
+        for call in range(bench.next - 3, bench.next + 1):
+            bench.later(gap)
+            bench.ended(call, 0, io.RESET, final=True)
+        assert (bench.proxy.score[0] >= 4) == failed
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -43,6 +43,7 @@
 COLD_DEPTH_US = 250_000  # us of the pace that a cold server may get at once beyond one: calls come unevenly
 QUOTA_US = 1_000_000  # us of a client's quota part that may come at once
 LOST = (io.RESET, io.UNREACHABLE, io.FAULTY)  # outcomes that a sound server seldom gives
+CUTS_US = 100_000  # us within which a second call cut at a server tells of more than chance
 FRESH_OUT = 2  # seizures out at most at a server that has not answered this proxy yet
 
 
@@ -76,6 +77,7 @@
         self.wait, self.wait_at, self.ahead = [], [], []  # lag taken, when, seizures out then
         self.lag, self.least = [], []  # last lag of an answer, least
         self.silent, self.sent_at = [], []  # seizures sent since the last answer, when the last one was
+        self.cut_at = []  # when a call that stood was last cut alone
         self.score, self.proven, self.free, self.told, self.rate = [], [], [], [], []
         self.tokens, self.tokens_at = [], []
         self.by_pool = {}
@@ -114,8 +116,8 @@
                     (self.state, io.GONE), (self.pool, -1), (self.started, 0), (self.skip_until, 0),
                     (self.empty_until, 0), (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.ahead, 1),
                     (self.lag, 0), (self.least, 1 << 60), (self.score, 0.0), (self.silent, 0),
-                    (self.sent_at, 0), (self.proven, False), (self.free, None), (self.told, None),
-                    (self.rate, 0.0), (self.tokens, 0.0), (self.tokens_at, 0)):
+                    (self.sent_at, 0), (self.cut_at, -SLOT_US), (self.proven, False), (self.free, None),
+                    (self.told, None), (self.rate, 0.0), (self.tokens, 0.0), (self.tokens_at, 0)):
                 figures.append(first)
             for figures in (self.firsts, self.retries, self.stands):
                 figures.append([0] * SLOTS)
@@ -237,7 +239,10 @@
         if event.report:
             self._report(s, event.report)
         late = event.outcome in (io.TIMED_OUT, io.CANCELLED)  # cancelled only when its caller gives up
-        if late and event.lag_us >= self.limit and not self.held_up or event.outcome in LOST:
+        alone = event.outcome == io.RESET and sent_at is None and self.now > self.cut_at[s] + CUTS_US
+        if alone:  # a call that stood was cut, with no other: go elsewhere where there is room, no more
+            self.cut_at[s], self.skip_until[s] = self.now, self.now + SKIP_US
+        elif late and event.lag_us >= self.limit and not self.held_up or event.outcome in LOST:
             self._outcome(s, True)
         if late and sent_at is not None:
             self._observe(s, max(self._wait(s), event.lag_us))
