Cold servers get a pace told by lines in use, kept by parts that add up over the fleet

Cause: whatever each proxy might send a cold server in any case (a first token, a bucket's depth, one set-up a fall time, half more than its own answered ones) added up over 226 and 276 proxies. Now the pace is what the pool took from all proxies while warm, read off the lines told in use, times the sure warmth; a proxy keeps an equal part as credit that lasts half a fall time, and credit below one is kept by chance. The limit of two seizures at a server that has not answered yet is dropped: it was multiplied by the fleet too.

--- a/tests/kit.py
+++ b/tests/kit.py
@@ -9,6 +9,7 @@
 def settings(**other):
     base = dict(tick_us=5 * MS, instances=4)
     base |= dict(type_target_us=[1200 * MS, 800 * MS], type_guard_us=[9 * S, 6 * S])
+    base |= dict(type_hold_us=[10 * S, 10 * S])
     base |= dict(type_revenue=[1.0, 6.0], type_late_part=[0.25, 0.25], type_pools=[[0, 1], [0, 1]])
     base |= dict(client_quota=[], over_quota_part=1.0, release_us=500 * MS, resend_us=0, seizures_max=5)
     base |= dict(open_max=20000, may_cancel=True, comeback_told=True, comeback_max_us=2 * S, list_asked=False)
@@ -19,9 +20,9 @@
 class Bench:
     """One proxy with servers 0.. in pools 0..; time is advanced by hand."""
 
-    def __init__(self, servers=2, started=0, **other):
+    def __init__(self, servers=2, started=0, seed=7, **other):
         self.now, self.next, self.timers, self.at = 100 * S, 0, [], {}
-        self.proxy = Proxy(7, settings(**other))
+        self.proxy = Proxy(seed, settings(**other))
         self.tell(*[io.Server(s, s, io.SERVING, started) for s in range(servers)], whole=True)
 
     def give(self, *events):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -97,18 +97,27 @@
     assert [kinds(bench.call())[0] for _ in range(3)] == [io.Seize, io.Seize, io.Reject]
 
 
-def test_cold_server_gets_this_proxys_part_of_the_warm_rate_at_most():
-    bench = Bench()
-    bench.warm()  # two a second at a warm server
-    bench.tell(io.Server(1, 1, io.SERVING, bench.now))
-    sent = 0
-    for _ in range(40):  # twenty a second for two seconds want the cold one
-        for action in bench.call(1):
-            if type(action) is io.Seize and action.server == 1:
-                sent += 1
-                bench.stood(bench.next, 1)
-        bench.later(50 * MS)
-    assert 1 <= sent <= 1 + 2 * 2
+def cold_fleet(proxies, pool_takes=100):
+    """Proxies before one server whose pool took so many set-ups a second while warm, told it is cold now."""
+    fleet = [Bench(1, seed=n + 1, instances=proxies) for n in range(proxies)]
+    for bench in fleet:
+        for _ in range(15):
+            bench.give(io.Seen(0, io.Report(9000 - 10 * pool_takes, 9000, None, None), False))
+            bench.later(S)
+        bench.tell(io.Server(0, 0, io.SERVING, bench.now))
+    return fleet
+
+
+@pytest.mark.parametrize("proxies", [1, 5, 100])
+def test_cold_server_is_sent_no_more_than_it_can_do_by_any_number_of_proxies(proxies):
+    fleet, sent = cold_fleet(proxies), []
+    for turn in range(12):  # all want it at once, again and again: after idling, in a burst, one by one
+        for bench in fleet:
+            bench.later([1500 * MS, 100 * MS, 50 * MS][turn % 3])
+            for _ in range(max(1, 60 // proxies)):
+                sent += [bench.now for a in bench.call() if type(a) is io.Seize]
+    most = max(sum(at <= other < at + 1500 * MS for other in sent) for at in sent)
+    assert 5 <= most <= 2 * 0.3 * 100 * 1.5
 
 
 @pytest.mark.parametrize("lost", [io.TIMED_OUT, io.FAULTY])
--- a/thorndale/adapter/door.py
+++ b/thorndale/adapter/door.py
@@ -39,6 +39,11 @@
         "instances": f.need(info, "nInstances", f.whole),
         "type_target_us": _listed(info, "classes[].goalTimeMs", f.micros),
         "type_guard_us": _listed(info, "classes[].giveUpMs", f.micros),
+        "type_hold_us": [
+            f.micros("familyInfo.classHoldMs", hold)
+            for hold in info.get("familyInfo.classHoldMs", "").split(",")
+            if hold
+        ],
         "type_revenue": _listed(info, "classes[].worth", f.number),
         "type_late_part": _listed(info, "classes[].lateWorth", f.number, 0.0),
         "type_pools": [
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -40,11 +40,11 @@
 HELD_UP_US = 100_000  # us that a timer is late when the proxy itself stood still: many ticks
 TRIAL_US = 1_000_000  # us from a set-up without answer to the first trial, fourfold after each in vain
 TRIALS_MOST = 3  # sends in vain after which the gap grows no more: 16 s, past most stand-stills
-COLD_DEPTH_US = 250_000  # us of the pace that a cold server may get at once beyond one: calls come unevenly
+COLD_KEPT = 0.5  # of the fall time: how long unused credit at a cold server lasts; longer, and it adds up
+FLOW_PART = 0.1  # weight of a telling in a server's mean inflow: some ten tellings, the design's window
 QUOTA_US = 1_000_000  # us of a client's quota part that may come at once
 LOST = (io.RESET, io.UNREACHABLE, io.FAULTY)  # outcomes that a sound server seldom gives
 CUTS_US = 100_000  # us within which a second call cut at a server tells of more than chance
-FRESH_OUT = 2  # seizures out at most at a server that has not answered this proxy yet
 
 
 class Held:
@@ -79,8 +79,10 @@
         self.silent, self.sent_at = [], []  # seizures sent since the last answer, when the last one was
         self.cut_at = []  # when a call that stood was last cut alone
         self.score, self.proven, self.free, self.told, self.rate = [], [], [], [], []
-        self.tokens, self.tokens_at = [], []
-        self.by_pool = {}
+        self.credit, self.credit_at = [], []  # set-ups that may go to a cold server, since when
+        self.used, self.used_at = [], []  # lines in use as last told, when
+        self.by_pool, self.inflow = {}, {}  # pool: servers; set-ups a second from all proxies, while warm
+        self.hold = max(settings["type_hold_us"], default=SLOTS * SLOT_US)  # us, mean of a call's length
         self.mean_revenue, self.turned_at = 0.0, -TURNED_US
         self.quota, self.quota_at = [1.0] * len(settings["client_quota"]), 0
         self.list_wanted = settings["list_asked"]
@@ -117,7 +119,8 @@
                     (self.empty_until, 0), (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.ahead, 1),
                     (self.lag, 0), (self.least, 1 << 60), (self.score, 0.0), (self.silent, 0),
                     (self.sent_at, 0), (self.cut_at, -SLOT_US), (self.proven, False), (self.free, None),
-                    (self.told, None), (self.rate, 0.0), (self.tokens, 0.0), (self.tokens_at, 0)):
+                    (self.told, None), (self.rate, 0.0), (self.credit, 0.0), (self.credit_at, 0),
+                    (self.used, 0), (self.used_at, 0)):
                 figures.append(first)
             for figures in (self.firsts, self.retries, self.stands):
                 figures.append([0] * SLOTS)
@@ -132,7 +135,7 @@
             if entry.started_us != self.started[s] and entry.state == io.SERVING:
                 # A new process: what was learned of the old one is void, and it may be cold.
                 self.started[s], self.score[s], self.proven[s] = entry.started_us, 0.0, False
-                self.tokens[s], self.tokens_at[s] = self._chance(), self.now
+                self.credit[s], self.credit_at[s], self.used_at[s] = 0.0, self.now, 0
                 self.wait[s], self.rate[s], self.silent[s], self.out[s] = 0, 0.0, 0, {}
             self._state(s, entry.state)
             self.pool[s] = entry.pool
@@ -156,6 +159,20 @@
     def _seen(self, event):
         self._grow(event.server)
         self._report(event.server, event.report)
+        if not event.asked:
+            self._flow(event.server, event.report)
+
+    def _flow(self, s, report):
+        """Lines in use are all proxies' doing: what they grew by, and what ends meanwhile of calls that last
+        their mean, is the set-ups that the server took from all. One proxy's own few tell little of that."""
+        if report.free is None or report.lines is None or not 0 <= report.free <= report.lines:
+            return
+        used, passed = report.lines - report.free, self.now - self.used_at[s]
+        if self.used_at[s] and passed > 0 and not self._cold(s) and self.state[s] == io.SERVING:
+            flow = max(0.0, (used - self.used[s]) / passed + self.used[s] / self.hold) * 1e6
+            mean = self.inflow.setdefault(self.pool[s], flow)
+            self.inflow[self.pool[s]] = mean + (flow - mean) * FLOW_PART
+        self.used[s], self.used_at[s] = used, self.now
 
     def _report(self, s, report):
         if report.free is not None:
@@ -199,6 +216,8 @@
         if self.quota and not self._within_quota(event.client):
             revenue *= settings["over_quota_part"]
         self.mean_revenue += (revenue - self.mean_revenue) * (MEAN_PART if self.mean_revenue else 1.0)
+        if kind < len(settings["type_hold_us"]):
+            self.hold += (settings["type_hold_us"][kind] - self.hold) * MEAN_PART
         held.revenue = revenue
         self.calls[event.call] = held
         self.touched.append(held)
@@ -330,35 +349,34 @@
         return self.started[s] > 0 and self.now < self.started[s] + self.settings["warm_up_us"]
 
     def _pace(self, s):
-        """Set-ups a second that this proxy may send to cold server s: its own part of what a warm server
-        takes (its own answered ones per warm server, so that all parts add up to no more), times warmth.
-        Where the cold one itself has told what it can take, a proxy's equal part of that."""
+        """Set-ups a second that all proxies together may send to cold server s: what its pool took while it
+        was warm, or the least that any pool took where it has not been seen, times the warmth that is sure.
+        Where the cold one itself has told what it can take, that."""
         if self.rate[s]:
-            return self.rate[s] / max(1, self.settings["instances"])
-        warm = [w for w in range(len(self.state)) if self.state[w] == io.SERVING and not self._cold(w)]
-        for w in warm:
-            self._roll(w)
-        own = sum(sum(self.stands[w]) for w in warm) / max(1, len(warm)) / (SLOTS * SLOT_US / 1e6)
+            return self.rate[s]
         start = self.settings["start_capacity"]
-        own = max(own, 1e6 / self.settings["fall_us"])
-        own *= start + (1 - start) * (self.now - self.started[s]) / self.settings["warm_up_us"]
-        at = self._roll(s)
-        answered = max(self.stands[s][at], self.stands[s][at - 1]) / (SLOT_US / 1e6)
-        return max(own, (1 + self.settings["fall_multiple"]) / 2 * answered)
+        warmth = start + (1 - start) * (self.now - self.started[s]) / self.settings["warm_up_us"]
+        known = self.inflow.get(self.pool[s]) or min(self.inflow.values(), default=0.0)
+        return max(known, 1e6 / self.settings["fall_us"]) * warmth
+
+    def _admits(self, s):
+        """Whether a set-up may go to server s, asked once for each that would. A cold server gets an equal
+        part of its pace from each proxy. Credit below one is kept by chance, and a draw uses it up: so the
+        sum over all proxies keeps to the pace whether there are five or five hundred, and whether they come
+        apart or all at once. Harms by leaving part of the pace unused where calls are few."""
+        if not self._cold(s):
+            return True
+        part = self._pace(s) / max(1, self.settings["instances"]) / 1e6
+        kept = min(self.now - self.credit_at[s], COLD_KEPT * self.settings["fall_us"])
+        self.credit[s] = min(self.credit[s] + part * kept, part * COLD_KEPT * self.settings["fall_us"])
+        self.credit_at[s] = self.now
+        admitted = self._chance() < self.credit[s]
+        self.credit[s] = max(0.0, self.credit[s] - 1.0)
+        return admitted
 
     def _has_room(self, s):
-        """Whether the guards let a set-up go to server s now; press apart."""
-        out = len(self.out[s])
-        if self._cold(s):
-            pace = self._pace(s)
-            depth = 1 + pace * COLD_DEPTH_US / 1e6
-            self.tokens[s] = min(depth, self.tokens[s] + (self.now - self.tokens_at[s]) * pace / 1e6)
-            self.tokens_at[s] = self.now
-            if self.tokens[s] < 1.0:
-                return False
-        if self.score[s] >= FAILED_AT and not self._trial_due(s):
-            return False
-        return self.proven[s] or out < FRESH_OUT
+        """Whether the guards let a set-up go to server s now; press and pace apart."""
+        return self.score[s] < FAILED_AT or self._trial_due(s)
 
     def _route(self, held, avoid=-1):
         """First choice unless skipped, told empty or barred by a guard, else the others in turn; -1: none."""
@@ -369,12 +387,12 @@
         open_ = [s for s in servers if self._has_room(s)]
         fit = [s for s in open_ if s != avoid and max(self.skip_until[s], self.empty_until[s]) <= self.now
                and self.free[s] != 0]
-        for s in fit:
-            if self._wait(s) <= self.limit * PRESS_LEAVE:
+        # Those below the wait first, in turn; then the least wait; if all are skipped, first choice.
+        order = sorted(fit, key=lambda s: max(self._wait(s), self.limit * PRESS_LEAVE))
+        for s in order or open_:
+            if self._admits(s):
                 return s
-        if fit:
-            return min(fit, key=self._wait)
-        return open_[0] if open_ else -1
+        return -1
 
     def _pressed(self, held, s):
         """Whether the call is turned away: the wait leaves too little of the setup target. Those with least
@@ -434,8 +452,6 @@
 
     def _reserve(self, held, s):
         self.out[s][held.call] = (self.now, len(self.out[s]) + 1)
-        if self._cold(s):
-            self.tokens[s] = max(0.0, self.tokens[s] - 1.0)
         self.silent[s] += 1
         self.sent_at[s] = self.now
 
