Lines: the part of the calls that a pool has room for, told by lines in use

Cause: all proxies seek a pool when the telling names a free line and leave it when it names none; sends swing between 300 and none a second, and 60 to 80% of failed seizures found no line. Now the fleet's demand is reckoned from the growth of lines in use and each proxy lets the part through that the free and ending lines can take.

--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -11,7 +11,7 @@
 """
 from collections import deque
 from heapq import heappop, heappush
-from math import log
+from math import log, sqrt
 
 from thorndale import interface as io
 
@@ -41,6 +41,8 @@
 TRIAL_US = 1_000_000  # us from a set-up without answer to the first trial, fourfold after each in vain
 TRIALS_MOST = 3  # sends in vain after which the gap grows no more: 16 s, past most stand-stills
 COLD_KEPT = 0.5  # of the fall time: how long unused credit at a cold server lasts; longer, and it adds up
+UNSEEN = 1.5  # growth of the demand reckoned at a pool found without a line: calls sent back go uncounted
+LINES_KEPT = 2  # lines kept free, as multiple of the root of what ends between tellings: what chance takes
 FLOW_PART = 0.1  # weight of a telling in a server's mean inflow: some ten tellings, the design's window
 QUOTA_US = 1_000_000  # us of a client's quota part that may come at once
 LOST = (io.RESET, io.UNREACHABLE, io.FAULTY)  # outcomes that a sound server seldom gives
@@ -81,6 +83,7 @@
         self.score, self.proven, self.free, self.told, self.rate = [], [], [], [], []
         self.credit, self.credit_at = [], []  # set-ups that may go to a cold server, since when
         self.used, self.used_at = [], []  # lines in use as last told, when
+        self.demand, self.part = [], []  # set-ups a us that all proxies want; part of them that may go
         self.by_pool, self.inflow = {}, {}  # pool: servers; set-ups a second from all proxies, while warm
         self.hold = max(settings["type_hold_us"], default=SLOTS * SLOT_US)  # us, mean of a call's length
         self.mean_revenue, self.turned_at = 0.0, -TURNED_US
@@ -120,7 +123,7 @@
                     (self.lag, 0), (self.least, 1 << 60), (self.score, 0.0), (self.silent, 0),
                     (self.sent_at, 0), (self.cut_at, -SLOT_US), (self.proven, False), (self.free, None),
                     (self.told, None), (self.rate, 0.0), (self.credit, 0.0), (self.credit_at, 0),
-                    (self.used, 0), (self.used_at, 0)):
+                    (self.used, 0), (self.used_at, 0), (self.demand, 0.0), (self.part, 1.0)):
                 figures.append(first)
             for figures in (self.firsts, self.retries, self.stands):
                 figures.append([0] * SLOTS)
@@ -168,12 +171,26 @@
         if report.free is None or report.lines is None or not 0 <= report.free <= report.lines:
             return
         used, passed = report.lines - report.free, self.now - self.used_at[s]
-        if self.used_at[s] and passed > 0 and not self._cold(s) and self.state[s] == io.SERVING:
-            flow = max(0.0, (used - self.used[s]) / passed + self.used[s] / self.hold) * 1e6
-            mean = self.inflow.setdefault(self.pool[s], flow)
-            self.inflow[self.pool[s]] = mean + (flow - mean) * FLOW_PART
+        if self.used_at[s] and passed > 0:
+            flow = max(0.0, (used - self.used[s]) / passed + self.used[s] / self.hold)
+            if not self._cold(s) and self.state[s] == io.SERVING:
+                mean = self.inflow.setdefault(self.pool[s], flow * 1e6)
+                self.inflow[self.pool[s]] = mean + (flow * 1e6 - mean) * FLOW_PART
+            self._share(s, flow, self.used[s] < report.lines, report.free, used / self.hold, passed)
         self.used[s], self.used_at[s] = used, self.now
 
+    def _share(self, s, flow, sought, free, ends, passed):
+        """The part of the calls wanting a line of server s that may go there until the next telling, the same
+        at all proxies. Guards against all of them seeking a few told lines at once and leaving together;
+        harms by keeping a few lines free, as many as chance may take."""
+        if sought:  # it was not told empty a telling ago, when none seek it
+            demand = flow / max(self.part[s], FLOW_PART)
+            if free < 1:
+                demand = max(demand, self.demand[s]) * UNSEEN
+            self.demand[s] = (self.demand[s] + demand) / 2 if self.demand[s] else demand
+        room = max(0.0, (free - LINES_KEPT * sqrt(ends * passed)) / passed / 2 + ends)
+        self.part[s] = min(1.0, room / self.demand[s]) if self.demand[s] else 1.0
+
     def _report(self, s, report):
         if report.free is not None:
             self.free[s] = report.free
@@ -364,6 +381,8 @@
         part of its pace from each proxy. Credit below one is kept by chance, and a draw uses it up: so the
         sum over all proxies keeps to the pace whether there are five or five hundred, and whether they come
         apart or all at once. Harms by leaving part of the pace unused where calls are few."""
+        if self.part[s] < 1.0 and self._chance() >= self.part[s]:
+            return False
         if not self._cold(s):
             return True
         part = self._pace(s) / max(1, self.settings["instances"]) / 1e6
