The part of the calls let through is learned from waits, above and below

Cause: at one set-up in two seconds a proxy's estimate, scaled by its 0 to 2 seizures out, is noise, and a steep cut on it lets the whole fleet in and out together: a slow server swung between 260 and 25 set-ups a second with waits of 3 s. Now each proxy keeps, for each server, the part of the calls that may go there: the share its lines allow, times a part learned from waits below and above a fifth of the limit, times a cut by the wait now. Calls pass by revenue over mean squared. A set-up sent before the last wait seen counts as lost; waits age by 0.2; the steep rule and the scaling by seizures out are gone. Reports are taken as half a second old.

--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -25,13 +25,14 @@
 WAIT_MOST_US = 2_000_000  # us, most of any wait: the design's
 SKIP_US = 1_000_000  # us that a server which was full or timed out is skipped: the design's
 TICKS_SPARE = 2  # ticks before the caller gives up at which the final answer is due: one may be under way
-PRESS_FROM = 0.1  # taken off a call's standing (0 to 1): the share of the limit at which it may first go
-PRESS_NONE = 0.1  # share of the limit below which nothing is turned away: chance, not press
-PRESS_LEAVE = 0.3  # share of the limit from which a call looks for a pool below it: early, before any is lost
-PRESS_SPAN = 0.3  # share of the limit over which the turning away grows from none to all; wide, or it swings
-DRAIN_RATE = 0.35  # us a us by which an estimate ages: left alone a processor sheds 1, but others send
+PRESS_NONE = 0.1  # share of the limit below which a wait is chance, not press
+PRESS_AT = 0.2  # share of the limit at which a server's wait is held: below it some capacity idles
+PRESS_SPAN = 0.3  # share of the limit above that over which the part is cut to none; wide, or all swing
+DRAIN_RATE = 0.2  # us a us by which a wait ages: left alone a processor sheds 1, but others send
+LEARN = 0.5  # a second: how fast the part is learned; faster, and it outruns what the waits tell
+RANK = 2  # power of a call's revenue against the mean in its chance: twice as dear, four times as likely
 TURNED_US = 4_000_000  # us after a first try was turned away in which no redial is taken: a few redial waits
-STALE_US = 500_000  # us since the last own observation from which a load report is as fresh
+REPORT_US = 500_000  # us that a load report is behind: half its period and its way
 MEAN_PART = 0.02  # weight of a call in the mean revenue: some 50 calls, a few seconds of one proxy
 BAD_ODDS, GOOD_ODDS = 0.5, 0.02  # chance of a lost seizure at a failed and at a sound server: far apart
 FAILED_AT = 4.0  # log odds that call a server failed: two losses with no answer between
@@ -43,6 +44,7 @@
 COLD_KEPT = 0.5  # of the fall time: how long unused credit at a cold server lasts; longer, and it adds up
 UNSEEN = 1.5  # growth of the demand reckoned at a pool found without a line: calls sent back go uncounted
 LINES_KEPT = 2  # lines kept free, as multiple of the root of what ends between tellings: what chance takes
+PART_LEAST = 0.005  # least part reckoned with: below it what comes is chance
 FLOW_PART = 0.1  # weight of a telling in a server's mean inflow: some ten tellings, the design's window
 QUOTA_US = 1_000_000  # us of a client's quota part that may come at once
 LOST = (io.RESET, io.UNREACHABLE, io.FAULTY)  # outcomes that a sound server seldom gives
@@ -75,15 +77,17 @@
         # Figures about servers, each a list under the server's index.
         self.state, self.pool, self.started, self.skip_until, self.empty_until = [], [], [], [], []
         self.firsts, self.retries, self.stands, self.slot = [], [], [], []  # slots, the last's number
-        self.out = []  # call: (when sent, seizures out with it), oldest first
-        self.wait, self.wait_at, self.ahead = [], [], []  # lag taken, when, seizures out then
+        self.out = []  # call: when sent, oldest first
+        self.wait, self.wait_at = [], []  # wait last seen, when what met it was sent
         self.lag, self.least = [], []  # last lag of an answer, least
         self.silent, self.sent_at = [], []  # seizures sent since the last answer, when the last one was
         self.cut_at = []  # when a call that stood was last cut alone
         self.score, self.proven, self.free, self.told, self.rate = [], [], [], [], []
         self.credit, self.credit_at = [], []  # set-ups that may go to a cold server, since when
         self.used, self.used_at = [], []  # lines in use as last told, when
-        self.demand, self.part = [], []  # set-ups a us that all proxies want; part of them that may go
+        self.demand, self.part = [], []  # set-ups a us that all proxies want; part of them that lines allow
+        self.open, self.open_at = [], []  # part that the processor has been found to take, as of when
+        self.shown, self.asked = [], []  # sum of the parts shown to calls since then, and their number
         self.by_pool, self.inflow = {}, {}  # pool: servers; set-ups a second from all proxies, while warm
         self.hold = max(settings["type_hold_us"], default=SLOTS * SLOT_US)  # us, mean of a call's length
         self.mean_revenue, self.turned_at = 0.0, -TURNED_US
@@ -119,11 +123,12 @@
         while len(self.state) <= server:
             for figures, first in (
                     (self.state, io.GONE), (self.pool, -1), (self.started, 0), (self.skip_until, 0),
-                    (self.empty_until, 0), (self.slot, 0), (self.wait, 0), (self.wait_at, 0), (self.ahead, 1),
+                    (self.empty_until, 0), (self.slot, 0), (self.wait, 0), (self.wait_at, 0),
                     (self.lag, 0), (self.least, 1 << 60), (self.score, 0.0), (self.silent, 0),
                     (self.sent_at, 0), (self.cut_at, -SLOT_US), (self.proven, False), (self.free, None),
                     (self.told, None), (self.rate, 0.0), (self.credit, 0.0), (self.credit_at, 0),
-                    (self.used, 0), (self.used_at, 0), (self.demand, 0.0), (self.part, 1.0)):
+                    (self.used, 0), (self.used_at, 0), (self.demand, 0.0), (self.part, 1.0),
+                    (self.open, 1.0), (self.open_at, 0), (self.shown, 0.0), (self.asked, 0)):
                 figures.append(first)
             for figures in (self.firsts, self.retries, self.stands):
                 figures.append([0] * SLOTS)
@@ -171,7 +176,7 @@
         if report.free is None or report.lines is None or not 0 <= report.free <= report.lines:
             return
         used, passed = report.lines - report.free, self.now - self.used_at[s]
-        if self.used_at[s] and passed > 0:
+        if self.used[s] and passed > 0:
             flow = max(0.0, (used - self.used[s]) / passed + self.used[s] / self.hold)
             if not self._cold(s) and self.state[s] == io.SERVING:
                 mean = self.inflow.setdefault(self.pool[s], flow * 1e6)
@@ -183,9 +188,11 @@
         """The part of the calls wanting a line of server s that may go there until the next telling, the same
         at all proxies. Guards against all of them seeking a few told lines at once and leaving together;
         harms by keeping a few lines free, as many as chance may take."""
+        shown = self.shown[s] / self.asked[s] if self.asked[s] else min(self.part[s], self.open[s])
+        self.shown[s], self.asked[s] = 0.0, 0
         if sought:  # it was not told empty a telling ago, when none seek it
-            demand = flow / max(self.part[s], FLOW_PART)
-            if free < 1:
+            demand = flow / max(shown, PART_LEAST)
+            if free * free < ends * passed:
                 demand = max(demand, self.demand[s]) * UNSEEN
             self.demand[s] = (self.demand[s] + demand) / 2 if self.demand[s] else demand
         room = max(0.0, (free - LINES_KEPT * sqrt(ends * passed)) / passed / 2 + ends)
@@ -199,13 +206,13 @@
         self.rate[s] = report.rate or self.rate[s]
         if report.wait_us is not None and report.wait_us != self.told[s]:
             self.told[s] = report.wait_us
-            if self.now >= self.wait_at[s] + STALE_US and self.proven[s]:
-                self._observe(s, self.least[s] + report.wait_us)
+            self._observe(s, report.wait_us, self.now - REPORT_US)
 
-    def _observe(self, s, wait, ahead=0):
-        """Takes a lag as the server's wait, unless this proxy was held up and it may be its own delay."""
-        if not self.held_up or wait <= self._wait(s):
-            self.wait[s], self.wait_at[s], self.ahead[s] = wait, self.now, ahead or len(self.out[s]) + 1
+    def _observe(self, s, wait, at):
+        """Takes a wait that a set-up sent at that time met, unless this proxy was held up and the wait may
+        be its own delay."""
+        if at > self.wait_at[s] and (not self.held_up or wait <= self._wait(s)):
+            self.wait[s], self.wait_at[s] = wait, at
 
     def _outcome(self, s, lost):
         """Sequential test (CUSUM of log odds) on outcomes. Guards against a server that takes set-ups and
@@ -257,11 +264,11 @@
     def _stood(self, event):
         s = event.server
         sent = self.out[s].pop(event.call, None)
-        if sent:  # what was sent before it and has no answer was lost on the way: it tells no wait
-            self.out[s] = {call: at for call, at in self.out[s].items() if at[0] >= sent[0]}
         self.least[s] = min(self.least[s], event.lag_us)
         self.lag[s] = event.lag_us
-        self._observe(s, event.lag_us, sent[1] if sent else 0)
+        if sent:  # what was sent before it and has no answer was lost on the way: it tells no wait
+            self.out[s] = {call: at for call, at in self.out[s].items() if at >= sent}
+            self._observe(s, event.lag_us - self.least[s], sent)
         self._outcome(s, False)
         self.proven[s], self.silent[s] = True, 0
         self._count(self.stands, s)
@@ -271,21 +278,21 @@
 
     def _ended(self, event):
         s, held = event.server, self.calls.get(event.call)
-        sent_at = self.out[s].pop(event.call, None)
+        sent = self.out[s].pop(event.call, None)
         if event.report:
             self._report(s, event.report)
         late = event.outcome in (io.TIMED_OUT, io.CANCELLED)  # cancelled only when its caller gives up
-        alone = event.outcome == io.RESET and sent_at is None and self.now > self.cut_at[s] + CUTS_US
+        alone = event.outcome == io.RESET and sent is None and self.now > self.cut_at[s] + CUTS_US
         if alone:  # a call that stood was cut, with no other: go elsewhere where there is room, no more
             self.cut_at[s], self.skip_until[s] = self.now, self.now + SKIP_US
         elif late and event.lag_us >= self.limit and not self.held_up or event.outcome in LOST:
             self._outcome(s, True)
-        if late and sent_at is not None:
-            self._observe(s, max(self._wait(s), event.lag_us))
+        if late and sent and event.lag_us > self._wait(s):
+            self._observe(s, event.lag_us, sent)
         if event.outcome in (io.FULL, io.BUSY):
             self.silent[s] = 0
         if event.outcome == io.FULL:
-            self._observe(s, max(self._wait(s), event.wait_us, 2 * self.limit))
+            self._observe(s, max(self._wait(s), event.wait_us, 2 * self.limit), self.now)
         if event.outcome == io.EMPTY:
             self.empty_until[s] = self.now + SKIP_US
         if event.outcome in (io.FULL, io.TIMED_OUT):
@@ -343,14 +350,12 @@
     # ---- routing and admission ----
 
     def _wait(self, s):
-        """The wait that a new set-up would meet: the last lag seen, aged, scaled by the seizures out now
-        against those out when that one left; and at least what the oldest one out has waited."""
-        if self._trial_due(s):
+        """The wait that a new set-up would meet: the last one seen, aged, and at least the age of the oldest
+        one out that went after the one that met it; what went before and has no answer is lost."""
+        if self.score[s] >= FAILED_AT and self._trial_due(s):
             return 0
-        aged = self.wait[s] - int((self.now - self.wait_at[s]) * DRAIN_RATE)
-        aged = aged * (len(self.out[s]) + 1) // self.ahead[s]
-        oldest = next(iter(self.out[s].values()), (self.now, 0))[0]
-        return max(0, aged, self.now - oldest)
+        oldest = next((at for at in self.out[s].values() if at > self.wait_at[s]), self.now)
+        return max(0, self.wait[s] - int((self.now - self.wait_at[s]) * DRAIN_RATE), self.now - oldest)
 
     def _trial_due(self, s):
         """Whether one set-up may try a server that has answered none since the last: ever later, the more it
@@ -376,12 +381,25 @@
         known = self.inflow.get(self.pool[s]) or min(self.inflow.values(), default=0.0)
         return max(known, 1e6 / self.settings["fall_us"]) * warmth
 
-    def _admits(self, s):
+    def _open(self, s):
+        """The part of the calls wanting server s that may go there: what its lines allow, and what holds the
+        wait at its processor. That is the part found so far, learned from waits above and below, and at once
+        less or more by the wait now. Guards against any lack of capacity."""
+        most, over = PRESS_AT * self.limit, self._wait(s) - PRESS_AT * self.limit
+        over /= max(1, PRESS_SPAN * self.limit if over > 0 else most)
+        passed, self.open_at[s] = min(SLOT_US, self.now - self.open_at[s]), self.now
+        self.open[s] = min(1.0, max(PART_LEAST, self.open[s] * (1 - min(1.0, over) * LEARN * passed / 1e6)))
+        part = min(1.0, self.part[s], self.open[s] * max(0.0, 1 - over))
+        self.shown[s], self.asked[s] = self.shown[s] + part, self.asked[s] + 1
+        return part
+
+    def _admits(self, s, held):
         """Whether a set-up may go to server s, asked once for each that would. A cold server gets an equal
         part of its pace from each proxy. Credit below one is kept by chance, and a draw uses it up: so the
         sum over all proxies keeps to the pace whether there are five or five hundred, and whether they come
         apart or all at once. Harms by leaving part of the pace unused where calls are few."""
-        if self.part[s] < 1.0 and self._chance() >= self.part[s]:
+        part = self._open(s)
+        if part < 1 and self._chance() >= part * (held.revenue / max(self.mean_revenue, 1e-9)) ** RANK:
             return False
         if not self._cold(s):
             return True
@@ -406,22 +424,11 @@
         open_ = [s for s in servers if self._has_room(s)]
         fit = [s for s in open_ if s != avoid and max(self.skip_until[s], self.empty_until[s]) <= self.now
                and self.free[s] != 0]
-        # Those below the wait first, in turn; then the least wait; if all are skipped, first choice.
-        order = sorted(fit, key=lambda s: max(self._wait(s), self.limit * PRESS_LEAVE))
-        for s in order or open_:
-            if self._admits(s):
+        for s in fit or open_:
+            if self._admits(s, held):
                 return s
         return -1
 
-    def _pressed(self, held, s):
-        """Whether the call is turned away: the wait leaves too little of the setup target. Those with least
-        revenue against the mean go first, and a growing share of them, or proxies that see the same would
-        swing together. Guards against any lack of capacity: bursts, slow servers, lost servers."""
-        standing = held.revenue / (held.revenue + self.mean_revenue) if held.revenue > 0 else 0.0
-        low = standing - PRESS_FROM
-        share = (self._wait(s) - (self.least[s] if self.proven[s] else 0)) / max(1, self.limit)
-        return share > PRESS_NONE and self._chance() * PRESS_SPAN < share - low
-
     def _plan(self, held):
         """Sets the wanted state of a call that something has happened to."""
         if held.want in ("reject", "fail"):
@@ -436,7 +443,7 @@
             s = self._route(held)
             if not held.first and self.now < self.turned_at + TURNED_US:
                 held.want = "reject"
-            elif s < 0 or self._pressed(held, s):
+            elif s < 0:
                 self._turn_away(held)
             else:
                 if not held.redial:
@@ -446,7 +453,7 @@
         elif held.want == "again":
             s = self._route(held, held.failed_at)
             most = min(SEIZURES, self.settings["seizures_max"])
-            if held.sent >= most or s < 0 or self._pressed(held, s) or not self._grant(s):
+            if held.sent >= most or s < 0 or not self._grant(s):
                 self._turn_away(held)
                 return
             most = min(WAIT_MOST_US, WAIT_BASE_US << held.sent - 1)
@@ -470,7 +477,7 @@
             self.turned_at = self.now
 
     def _reserve(self, held, s):
-        self.out[s][held.call] = (self.now, len(self.out[s]) + 1)
+        self.out[s][held.call] = self.now
         self.silent[s] += 1
         self.sent_at[s] = self.now
 
