--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -419,7 +419,8 @@
         """First choice unless skipped, told empty or barred by a guard, else the others in turn; -1: none."""
         pools = self.settings["type_pools"]
         allowed = pools[held.kind] if held.kind < len(pools) else list(self.by_pool)
-        turn = sorted(allowed, key=lambda p: (p != held.pool, p < held.pool, p))
+        start = int(self._chance() * len(allowed))  # or all that leave one pool would come to the next
+        turn = sorted(allowed[start:] + allowed[:start], key=lambda p: p != held.pool)
         servers = [s for p in turn for s in self.by_pool.get(p, ())]
         open_ = [s for s in servers if self._has_room(s)]
         fit = [s for s in open_ if s != avoid and max(self.skip_until[s], self.empty_until[s]) <= self.now
