Set-ups that later ones overtook are lost, not waiting; calls pass by revenue over mean

Cause: where a third of the answers never come back, each lost set-up looks like a wait of seconds and shuts a sound server at that proxy for seconds. Now the share of set-ups that were overtaken is kept; as many unanswered ones as it makes likely tell no wait, and the sequential test weighs a loss against that share. The table of figures is one dict now; redials that are held back draw no credit; no log line for a server first named.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -22,7 +22,7 @@
     proxy = (bench := Bench()).proxy
     assert [proxy._grant(0) for _ in range(RETRY_FLOOR + 1)] == [True] * RETRY_FLOOR + [False]
     for _ in range(50):
-        proxy._count(proxy.firsts, 0)
+        proxy.firsts[0][proxy._roll(0)] += 1
     assert [proxy._grant(0) for _ in range(3)] == [True, True, False]  # a tenth of 50 is 5
     assert proxy._grant(1)  # a budget for each server
     proxy.now = bench.now // SLOT_US * SLOT_US + SLOTS * SLOT_US - 1
@@ -55,7 +55,6 @@
 
 def test_full_server_is_skipped_and_all_skipped_means_first_choice():
     bench = Bench()
-    bench.proxy.proven = [True, True]
     bench.proxy.skip_until = [bench.now + SKIP_US, 0]
     assert bench.call(0)[0].server == 1
     bench.stood(bench.next, 1)
@@ -176,6 +175,20 @@
     assert bench.proxy._wait(0) <= 10 * MS
 
 
+def test_server_that_loses_answers_but_gives_later_ones_keeps_its_part():
+    bench = Bench(1)
+    bench.warm(10)
+    for n in range(20):  # every third answer is lost, the next ones come
+        bench.call()
+        bench.later(200 * MS)
+        if n % 3:
+            bench.stood(bench.next, 0)
+    assert bench.proxy.loss[0] > 0.1 and bench.proxy.score[0] < 4
+    bench.call()
+    bench.later(900 * MS)
+    assert bench.proxy._wait(0) < 100 * MS  # one unanswered set-up tells nothing now
+
+
 def telling(bench, free, lines=200, server=0):
     bench.later(S)
     bench.give(io.Seen(server, io.Report(free, lines, None, None), False))
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -30,7 +30,6 @@
 PRESS_SPAN = 0.3  # share of the limit above that over which the part is cut to none; wide, or all swing
 DRAIN_RATE = 0.2  # us a us by which a wait ages: left alone a processor sheds 1, but others send
 LEARN = 0.5  # a second: how fast the part is learned; faster, and it outruns what the waits tell
-RANK = 2  # power of a call's revenue against the mean in its chance: twice as dear, four times as likely
 TURNED_US = 4_000_000  # us after a first try was turned away in which no redial is taken: a few redial waits
 REPORT_US = 500_000  # us that a load report is behind: half its period and its way
 MEAN_PART = 0.02  # weight of a call in the mean revenue: some 50 calls, a few seconds of one proxy
@@ -46,10 +45,28 @@
 LINES_KEPT = 2  # lines kept free, as multiple of the root of what ends between tellings: what chance takes
 PART_LEAST = 0.005  # least part reckoned with: below it what comes is chance
 FLOW_PART = 0.1  # weight of a telling in a server's mean inflow: some ten tellings, the design's window
+LOSS_PART = 0.15  # weight of a seizure in the share found lost: some seven
+LOSSY = 0.1  # share lost from which one unanswered set-up tells nothing
 QUOTA_US = 1_000_000  # us of a client's quota part that may come at once
 LOST = (io.RESET, io.UNREACHABLE, io.FAULTY)  # outcomes that a sound server seldom gives
 CUTS_US = 100_000  # us within which a second call cut at a server tells of more than chance
 
+# Figures about servers, each a list under the server's index, with what it begins with.
+FIGURES = dict(
+    state=io.SERVING, pool=-1, started=0, free=None, rate=0.0,  # as told
+    skip_until=0, empty_until=0, slot=0,  # us; number of the window's last slot
+    wait=0, wait_at=0, told=None,  # wait last seen, when what met it was sent; wait last reported
+    lag=0, least=1 << 60,  # last lag of an answer, least
+    silent=0, sent_at=0,  # seizures sent since the last answer, when the last one was
+    score=0.0, loss=0.0,  # log odds that it failed; share of set-ups lost though later ones were answered
+    cut_at=-SLOT_US,  # when a call that stood was last cut alone
+    credit=0.0, credit_at=0,  # set-ups that may go while it is cold, since when
+    used=0, used_at=0,  # lines in use as last told, when
+    demand=0.0, part=1.0,  # set-ups a us that all proxies want; part of them that lines allow
+    open=1.0, open_at=0,  # part that the processor has been found to take, as of when
+    shown=0.0, asked=0,  # sum of the parts shown to calls since the last telling, and their number
+)
+
 
 class Held:
     """A call that this proxy owes an answer."""
@@ -74,20 +91,9 @@
         self.given_up, self.given_up_at = {}, deque()  # key: when the call first came; (when to forget, key)
         self.alarms, self.armed, self.serial = [], 0, 0
         self.held_up = False  # this proxy itself stood still: what the batch tells of times is its own delay
-        # Figures about servers, each a list under the server's index.
-        self.state, self.pool, self.started, self.skip_until, self.empty_until = [], [], [], [], []
-        self.firsts, self.retries, self.stands, self.slot = [], [], [], []  # slots, the last's number
-        self.out = []  # call: when sent, oldest first
-        self.wait, self.wait_at = [], []  # wait last seen, when what met it was sent
-        self.lag, self.least = [], []  # last lag of an answer, least
-        self.silent, self.sent_at = [], []  # seizures sent since the last answer, when the last one was
-        self.cut_at = []  # when a call that stood was last cut alone
-        self.score, self.proven, self.free, self.told, self.rate = [], [], [], [], []
-        self.credit, self.credit_at = [], []  # set-ups that may go to a cold server, since when
-        self.used, self.used_at = [], []  # lines in use as last told, when
-        self.demand, self.part = [], []  # set-ups a us that all proxies want; part of them that lines allow
-        self.open, self.open_at = [], []  # part that the processor has been found to take, as of when
-        self.shown, self.asked = [], []  # sum of the parts shown to calls since then, and their number
+        for name in FIGURES:
+            setattr(self, name, [])
+        self.firsts, self.retries, self.out = [], [], []  # slots of the window; call: when sent, oldest first
         self.by_pool, self.inflow = {}, {}  # pool: servers; set-ups a second from all proxies, while warm
         self.hold = max(settings["type_hold_us"], default=SLOTS * SLOT_US)  # us, mean of a call's length
         self.mean_revenue, self.turned_at = 0.0, -TURNED_US
@@ -121,17 +127,10 @@
 
     def _grow(self, server):
         while len(self.state) <= server:
-            for figures, first in (
-                    (self.state, io.GONE), (self.pool, -1), (self.started, 0), (self.skip_until, 0),
-                    (self.empty_until, 0), (self.slot, 0), (self.wait, 0), (self.wait_at, 0),
-                    (self.lag, 0), (self.least, 1 << 60), (self.score, 0.0), (self.silent, 0),
-                    (self.sent_at, 0), (self.cut_at, -SLOT_US), (self.proven, False), (self.free, None),
-                    (self.told, None), (self.rate, 0.0), (self.credit, 0.0), (self.credit_at, 0),
-                    (self.used, 0), (self.used_at, 0), (self.demand, 0.0), (self.part, 1.0),
-                    (self.open, 1.0), (self.open_at, 0), (self.shown, 0.0), (self.asked, 0)):
-                figures.append(first)
-            for figures in (self.firsts, self.retries, self.stands):
-                figures.append([0] * SLOTS)
+            for name, first in FIGURES.items():
+                getattr(self, name).append(first)
+            self.firsts.append([0] * SLOTS)
+            self.retries.append([0] * SLOTS)
             self.out.append({})
 
     def _servers(self, event):
@@ -142,8 +141,8 @@
             seen.add(s)
             if entry.started_us != self.started[s] and entry.state == io.SERVING:
                 # A new process: what was learned of the old one is void, and it may be cold.
-                self.started[s], self.score[s], self.proven[s] = entry.started_us, 0.0, False
-                self.credit[s], self.credit_at[s], self.used_at[s] = 0.0, self.now, 0
+                self.started[s], self.score[s] = entry.started_us, 0.0
+                self.credit[s], self.credit_at[s], self.used[s] = 0.0, self.now, 0
                 self.wait[s], self.rate[s], self.silent[s], self.out[s] = 0, 0.0, 0, {}
             self._state(s, entry.state)
             self.pool[s] = entry.pool
@@ -153,7 +152,7 @@
                     self._state(s, io.GONE)
         self.by_pool = {}
         for s, state in enumerate(self.state):
-            if state == io.SERVING:
+            if state == io.SERVING and self.pool[s] >= 0:
                 self.by_pool.setdefault(self.pool[s], []).append(s)
 
     def _state(self, s, state):
@@ -218,7 +217,8 @@
         """Sequential test (CUSUM of log odds) on outcomes. Guards against a server that takes set-ups and
         loses them, whatever the cause: dead, hung, unreachable. Harms where the network alone loses them."""
         was = self.score[s] >= FAILED_AT
-        step = log(BAD_ODDS / GOOD_ODDS) if lost else log((1 - BAD_ODDS) / (1 - GOOD_ODDS))
+        good = min(BAD_ODDS * 0.9, max(GOOD_ODDS, self.loss[s]))
+        step = log(BAD_ODDS / good) if lost else log((1 - BAD_ODDS) / (1 - good))
         self.score[s] = min(SCORE_MOST, max(0.0, self.score[s] + step))
         if not lost and was:
             self.score[s] = 0.0  # a failed server that answers a trial is back
@@ -239,9 +239,9 @@
             revenue *= settings["type_late_part"][kind]
         if self.quota and not self._within_quota(event.client):
             revenue *= settings["over_quota_part"]
-        self.mean_revenue += (revenue - self.mean_revenue) * (MEAN_PART if self.mean_revenue else 1.0)
         if kind < len(settings["type_hold_us"]):
             self.hold += (settings["type_hold_us"][kind] - self.hold) * MEAN_PART
+        self.mean_revenue += (revenue - self.mean_revenue) * (MEAN_PART if self.mean_revenue else 1.0)
         held.revenue = revenue
         self.calls[event.call] = held
         self.touched.append(held)
@@ -266,12 +266,14 @@
         sent = self.out[s].pop(event.call, None)
         self.least[s] = min(self.least[s], event.lag_us)
         self.lag[s] = event.lag_us
+        self.loss[s] -= self.loss[s] * LOSS_PART
         if sent:  # what was sent before it and has no answer was lost on the way: it tells no wait
-            self.out[s] = {call: at for call, at in self.out[s].items() if at >= sent}
+            for call in [call for call, at in self.out[s].items() if at < sent]:
+                del self.out[s][call]
+                self.loss[s] += (1 - self.loss[s]) * LOSS_PART
             self._observe(s, event.lag_us - self.least[s], sent)
         self._outcome(s, False)
-        self.proven[s], self.silent[s] = True, 0
-        self._count(self.stands, s)
+        self.silent[s] = 0
         held = self.calls.get(event.call)
         if held and held.out == event.seizure:
             held.stood = True
@@ -287,7 +289,9 @@
             self.cut_at[s], self.skip_until[s] = self.now, self.now + SKIP_US
         elif late and event.lag_us >= self.limit and not self.held_up or event.outcome in LOST:
             self._outcome(s, True)
-        if late and sent and event.lag_us > self._wait(s):
+        if late and sent and self.wait_at[s] > sent:
+            self.loss[s] += (1 - self.loss[s]) * LOSS_PART
+        elif late and sent and event.lag_us > self._wait(s) and self.loss[s] < LOSSY:
             self._observe(s, event.lag_us, sent)
         if event.outcome in (io.FULL, io.BUSY):
             self.silent[s] = 0
@@ -332,13 +336,10 @@
         slot = self.now // SLOT_US
         for passed in range(min(SLOTS, slot - self.slot[s])):
             at = (slot - passed) % SLOTS
-            self.firsts[s][at] = self.retries[s][at] = self.stands[s][at] = 0
+            self.firsts[s][at] = self.retries[s][at] = 0
         self.slot[s] = slot
         return slot % SLOTS
 
-    def _count(self, figures, s):
-        figures[s][self._roll(s)] += 1
-
     def _grant(self, s):
         """One more retry to server s: within the larger of the floor and the share of first set-ups."""
         at = self._roll(s)
@@ -354,7 +355,9 @@
         one out that went after the one that met it; what went before and has no answer is lost."""
         if self.score[s] >= FAILED_AT and self._trial_due(s):
             return 0
-        oldest = next((at for at in self.out[s].values() if at > self.wait_at[s]), self.now)
+        since = [at for at in self.out[s].values() if at > self.wait_at[s]]
+        lost = int(self.loss[s] * len(since) + 1 - LOSSY)
+        oldest = since[lost] if lost < len(since) else self.now
         return max(0, self.wait[s] - int((self.now - self.wait_at[s]) * DRAIN_RATE), self.now - oldest)
 
     def _trial_due(self, s):
@@ -399,7 +402,7 @@
         sum over all proxies keeps to the pace whether there are five or five hundred, and whether they come
         apart or all at once. Harms by leaving part of the pace unused where calls are few."""
         part = self._open(s)
-        if part < 1 and self._chance() >= part * (held.revenue / max(self.mean_revenue, 1e-9)) ** RANK:
+        if part < 1 and self._chance() >= part * held.revenue / max(self.mean_revenue, 1e-9):
             return False
         if not self._cold(s):
             return True
@@ -441,14 +444,15 @@
         elif held.out >= 0:
             held.want = "keep"
         elif held.want == "new":
-            s = self._route(held)
-            if not held.first and self.now < self.turned_at + TURNED_US:
+            late = not held.first and self.now < self.turned_at + TURNED_US
+            s = -1 if late else self._route(held)
+            if late:
                 held.want = "reject"
             elif s < 0:
                 self._turn_away(held)
             else:
                 if not held.redial:
-                    self._count(self.firsts, s)
+                    self.firsts[s][self._roll(s)] += 1
                 held.want, held.arg = "seize", s
                 self._reserve(held, s)
         elif held.want == "again":
