--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -189,6 +189,22 @@
     assert bench.proxy._wait(0) < 100 * MS  # one unanswered set-up tells nothing now
 
 
+def test_server_that_faults_on_a_third_stays_in_use_and_one_that_faults_always_does_not():
+    for every, failed in ((3, False), (1, True)):
+        bench = Bench(1)
+        bench.warm(20)
+        failing = 0
+        for n in range(60):
+            bench.call()
+            if n % every:
+                bench.stood(bench.next, 0)
+            else:
+                bench.ended(bench.next, 0, io.FAULTY, lag=10 * MS)
+            bench.later(200 * MS)
+            failing += bench.proxy.score[0] >= 4
+        assert (failing > 30) == failed
+
+
 def telling(bench, free, lines=200, server=0):
     bench.later(S)
     bench.give(io.Seen(server, io.Report(free, lines, None, None), False))
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -33,7 +33,7 @@
 TURNED_US = 4_000_000  # us after a first try was turned away in which no redial is taken: a few redial waits
 REPORT_US = 500_000  # us that a load report is behind: half its period and its way
 MEAN_PART = 0.02  # weight of a call in the mean revenue: some 50 calls, a few seconds of one proxy
-BAD_ODDS, GOOD_ODDS = 0.5, 0.02  # chance of a lost seizure at a failed and at a sound server: far apart
+BAD_ODDS, GOOD_ODDS = 0.9, 0.02  # chance of a lost seizure at a failed and at a sound server: far apart
 FAILED_AT = 4.0  # log odds that call a server failed: two losses with no answer between
 SCORE_MOST = 8.0  # log odds kept at most, so that some dozen answers clear any server
 BEAT_US = 200_000  # us between timers at most while a call is held, so that a stand-still is seen
@@ -215,7 +215,8 @@
 
     def _outcome(self, s, lost):
         """Sequential test (CUSUM of log odds) on outcomes. Guards against a server that takes set-ups and
-        loses them, whatever the cause: dead, hung, unreachable. Harms where the network alone loses them."""
+        loses them, whatever the cause: dead, hung, unreachable. One that loses some and answers others is
+        held against its own share lost, and stays in use."""
         was = self.score[s] >= FAILED_AT
         good = min(BAD_ODDS * 0.9, max(GOOD_ODDS, self.loss[s]))
         step = log(BAD_ODDS / good) if lost else log((1 - BAD_ODDS) / (1 - good))
@@ -293,8 +294,10 @@
             self.loss[s] += (1 - self.loss[s]) * LOSS_PART
         elif late and sent and event.lag_us > self._wait(s) and self.loss[s] < LOSSY:
             self._observe(s, event.lag_us, sent)
-        if event.outcome in (io.FULL, io.BUSY):
+        if event.outcome in (io.FULL, io.BUSY, io.FAULTY):
             self.silent[s] = 0
+        if event.outcome == io.FAULTY:
+            self.loss[s] += (1 - self.loss[s]) * LOSS_PART
         if event.outcome == io.FULL:
             self._observe(s, max(self._wait(s), event.wait_us, 2 * self.limit), self.now)
         if event.outcome == io.EMPTY:
