--- /dev/null
+++ b/thorndale/call/door.py
@@ -0,0 +1,84 @@
+"""The module's door in the daemon: its plain settings map, its indices, its events in and its actions out.
+
+The module knows calls, servers, trunk groups, call types and clients by dense indices: those of the settings'
+lists; calls are numbered here and a number is used again once its call is over and its last seizure's end told.
+"""
+
+from thorndale import interface as io
+from thorndale.policy import Proxy
+
+
+def module_settings(settings):
+    """The one map of names to values that the module is started with; the names as `thorndale/interface.py` and
+    the bench's door have them. Times become whole microseconds.
+
+    tick_us: how late an answer may come of the shell's own doing. instances: proxies of this fleet, this one
+    included. type_*: by call type. client_quota: set-ups a second of all proxies, by client; a quota of 0 leaves
+    the whole list out. list_asked: whether the list of servers must be subscribed to.
+    """
+    types, rules = settings.call_types, settings.rules
+    group = {g.name: n for n, g in enumerate(settings.trunk_groups)}
+    quotas = [float(c.quota_per_s) for c in settings.clients]
+    return {
+        "tick_us": settings.limits.tick_ms * 1000,
+        "instances": settings.instances,
+        "type_target_us": [t.setup_target_ms * 1000 for t in types],
+        "type_guard_us": [t.guard_ms * 1000 for t in types],
+        "type_hold_us": [t.hold_ms * 1000 for t in types],
+        "type_revenue": [t.revenue for t in types],
+        "type_late_part": [t.late_part for t in types],
+        "type_pools": [[group[g] for g in t.trunk_groups] for t in types],
+        "client_quota": quotas if quotas and all(quotas) else [],
+        "over_quota_part": settings.over_quota_part,
+        "release_us": rules.release_ms * 1000,
+        "resend_us": rules.resend_ms * 1000,
+        "seizures_max": settings.limits.seizures,
+        "open_max": settings.limits.open_calls,
+        "may_cancel": True,
+        "comeback_told": settings.comeback.told,
+        "comeback_max_us": settings.comeback.most_ms * 1000,
+        "drain_grace_us": rules.drain_grace_ms * 1000,
+        "start_capacity": rules.start_capacity,
+        "warm_up_us": rules.warm_up_ms * 1000,
+        "fall_multiple": rules.fall_multiple,
+        "fall_us": rules.fall_ms * 1000,
+        "list_asked": settings.book is not None,
+    }
+
+
+class Door:
+    """Events are gathered and handed over in one batch by `take`, which gives the actions."""
+
+    def __init__(self, seed, settings):
+        self.module = Proxy(seed, module_settings(settings))
+        self.calls, self.spare, self.events = [], [], []
+
+    def __len__(self):
+        """Calls that have a number."""
+        return len(self.calls) - len(self.spare)
+
+    def number(self, call):
+        """A number for a call, to be given back by `release`."""
+        if self.spare:
+            index = self.spare.pop()
+            self.calls[index] = call
+            return index
+        self.calls.append(call)
+        return len(self.calls) - 1
+
+    def release(self, index):
+        self.calls[index] = None
+        self.spare.append(index)
+
+    def tell(self, event):
+        self.events.append(event)
+
+    def take(self, now):
+        events, self.events = self.events, []
+        return self.module.handle(now, events)
+
+    def server_state(self, server):
+        """What the list last said of a server: for logs and status, no decision is made on it."""
+        module = self.module
+        state = module.state[server] if server < len(module.state) else io.GONE
+        return ("serving", "draining", "gone")[state]
--- /dev/null
+++ b/thorndale/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/thorndale/cli/main.py
@@ -0,0 +1,85 @@
+"""`thorndale run FILE`, `thorndale check FILE`, `thorndale day DAY`.
+
+Exit codes: 0 done; 1 it could not be done, or a rule was broken; 2 the input is wrong and nothing was opened.
+"""
+
+import sys
+
+import typer
+
+from thorndale.config.load import ConfigError, load
+
+app = typer.Typer(add_completion=False, no_args_is_help=True, help="A call router over trunk groups.",
+                  pretty_exceptions_enable=False)
+
+
+def _load(path):
+    try:
+        return load(path)
+    except ConfigError as fault:
+        for text in fault.faults:
+            typer.echo(f"{fault.where}: {text}", err=True)
+        raise typer.Exit(2) from None
+
+
+@app.command()
+def run(file: str = typer.Argument(help="A settings file, JSON5.")):
+    """Runs one border proxy until SIGTERM."""
+    from thorndale.daemon.run import StartError
+    from thorndale.daemon.run import run as serve
+
+    settings = _load(file)
+    try:
+        serve(settings)
+    except StartError as fault:
+        typer.echo(f"{file}: {fault}", err=True)
+        raise typer.Exit(1) from None
+
+
+@app.command()
+def check(file: str = typer.Argument(help="A settings file, JSON5.")):
+    """Checks a settings file and opens nothing."""
+    settings = _load(file)
+    typer.echo(f"{file}: sound: {len(settings.listen)} listeners, {len(settings.servers)} central servers in "
+               f"{len(settings.trunk_groups)} trunk groups, {len(settings.call_types)} call types")
+
+
+@app.command()
+def day(
+    file: str = typer.Argument(help="A scripted day, JSON5; see examples/days."),
+    calls: int = typer.Option(0, help="This many calls in place of the day's own length."),
+    keep: str = typer.Option("", help="A folder in which the proxies' settings and logs are kept."),
+    seconds: bool = typer.Option(True, help="Print a row for each second too."),
+):
+    """Plays a day on loopback and judges the five rules. Exit code 1 where one was broken or something leaked."""
+    import os
+
+    import pyjson5
+
+    from thorndale.cli.tables import print_day
+    from thorndale.standins.day import DayError, exit_code, play
+    from thorndale.standins.script import read_day
+
+    try:
+        with open(file, encoding="utf-8") as text:
+            plan = read_day(pyjson5.decode(text.read()), file)
+        if keep:
+            os.makedirs(keep, exist_ok=True)
+    except ConfigError as fault:
+        for line in fault.faults:
+            typer.echo(f"{file}: {line}", err=True)
+        raise typer.Exit(2) from None
+    except (OSError, ValueError, pyjson5.Json5Exception) as fault:
+        typer.echo(f"{file}: {fault}", err=True)
+        raise typer.Exit(2) from None
+    try:
+        player, breaks = play(plan, calls, folder=keep or None)
+    except DayError as fault:
+        typer.echo(f"{file}: {fault}", err=True)
+        raise typer.Exit(1) from None
+    print_day(player, breaks, seconds)
+    raise typer.Exit(exit_code(player, breaks))
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- /dev/null
+++ b/thorndale/cli/tables.py
@@ -0,0 +1,55 @@
+"""Tables for a terminal; plain text where standard output is none."""
+
+from collections import Counter
+
+from rich.console import Console
+from rich.table import Table
+
+from thorndale.standins.audit import RULES
+from thorndale.standins.day import leaks
+
+COLUMNS = ("offered", "redials", "stood", "in time", "rejected", "released", "left", "cut", "no answer", "gave up",
+           "lost", "refused")
+BREAKS_SHOWN = 20
+
+
+def _table(title, first, rows, columns):
+    used = [c for c in columns if any(row.get(c) for _, row in rows)]
+    table = Table(title=title, title_justify="left")
+    table.add_column(first)
+    for column in used:
+        table.add_column(column, justify="right")
+    for name, row in rows:
+        table.add_row(str(name), *(str(row.get(c, 0)) for c in used))
+    return table
+
+
+def print_day(player, breaks, seconds):
+    """The day's outcome: by call type, by second, the rules, and what was left in the proxies."""
+    console = Console(width=None if Console().is_terminal else 120)
+    rows, total = [], Counter()
+    for plan in player.day.types:
+        row = {key: n for (name, key), n in player.count.items() if name == plan.name}
+        total.update(row)
+        rows.append((plan.name, row))
+    rows.append(("all", total))
+    if seconds:
+        console.print(_table("By second", "second", sorted(player.per_second.items()), COLUMNS))
+    console.print(_table("By call type", "call type", rows, COLUMNS))
+    lags = sorted(player.lag)
+    if lags:
+        at = [lags[min(len(lags) - 1, int(len(lags) * p))] / 1000 for p in (0.5, 0.99)]
+        console.print(f"set-up time: median {at[0]:.1f} ms, 99% {at[1]:.1f} ms")
+    offered = total["offered"]
+    console.print(f"{offered} calls in {player.seconds:.1f} s, {player.auditor.messages} messages seen, "
+                  f"{player.day.proxies} proxies, {len(player.day.boxes)} boxes")
+    by_rule = Counter(rule for _, rule, _ in breaks)
+    for at, rule, text in breaks[:BREAKS_SHOWN]:
+        console.print(f"BROKEN at {(at - player.began) / 1e6:.3f} s: {rule}: {text}", highlight=False, markup=False)
+    console.print("rules: " + ", ".join(f"{rule} {by_rule[rule]}" for rule in RULES))
+    left = leaks(player)
+    for name, held in left.items():
+        console.print(f"LEFT in {name}: {held}", highlight=False, markup=False)
+    console.print("left in the proxies: " + ("see above" if left else
+                  "0 calls, 0 transactions, 0 dialogs, 0 timers, 0 tasks, 0 descriptors"))
+    console.print(f"rule breaks: {len(breaks)}")
--- /dev/null
+++ b/thorndale/config/settings.py
@@ -0,0 +1,138 @@
+"""The settings' shape. Times end in _ms or _s; what is left out takes the value written here.
+
+Bounds stand beside the fields (msgspec.Meta); what joins several fields is checked in `load.py`.
+"""
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.:-]{0,63}$")]
+Ms = Annotated[int, Meta(ge=0, le=86_400_000)]
+MsOver0 = Annotated[int, Meta(ge=1, le=86_400_000)]
+Count = Annotated[int, Meta(ge=1, le=10_000_000)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+
+
+class TrunkGroup(Struct, forbid_unknown_fields=True, frozen=True):
+    """`name` is also its label in `tgrp` (RFC 4904)."""
+
+    name: Name
+
+
+class CentralServer(Struct, forbid_unknown_fields=True, frozen=True):
+    """`uri` is where it takes set-ups: sip:ADDRESS:PORT[;transport=tcp]."""
+
+    name: Name
+    uri: str
+    trunk_group: str
+
+
+class CallType(Struct, forbid_unknown_fields=True, frozen=True):
+    """`hold_ms` is the mean length of a call; `late_part` what one earns that stands after its setup target;
+    `trunk_groups` those that it may take, the first being the first choice where no row names one."""
+
+    name: Name
+    setup_target_ms: MsOver0
+    guard_ms: MsOver0
+    trunk_groups: Annotated[list[str], Meta(min_length=1)]
+    hold_ms: MsOver0 = 180_000
+    revenue: Annotated[float, Meta(gt=0)] = 1.0
+    late_part: Share = 0.0
+
+
+class Client(Struct, forbid_unknown_fields=True, frozen=True):
+    """`quota_per_s`: set-ups a second of all proxies together; quotas count when all clients have one."""
+
+    name: Name
+    quota_per_s: Annotated[float, Meta(ge=0)] = 0.0
+
+
+class Row(Struct, forbid_unknown_fields=True, frozen=True):
+    """A call fits whose number begins with `prefix` and whose `header`, if one is named, holds `value`."""
+
+    call_type: str
+    prefix: str = ""
+    header: str = ""
+    value: str = ""
+    trunk_group: str = ""
+    client: str = ""
+
+
+class Book(Struct, forbid_unknown_fields=True, frozen=True):
+    """The pool book: where to subscribe, and where its copy is kept over a restart."""
+
+    uri: str
+    file: str = ""
+    expires_s: Annotated[int, Meta(ge=1, le=86_400)] = 60
+
+
+class Rules(Struct, forbid_unknown_fields=True, frozen=True):
+    release_ms: Ms = 500
+    resend_ms: Ms = 0
+    drain_grace_ms: Ms = 500
+    start_capacity: Annotated[float, Meta(gt=0, le=1)] = 0.28
+    warm_up_ms: MsOver0 = 14_000
+    fall_multiple: Annotated[float, Meta(ge=1)] = 2.0
+    fall_ms: MsOver0 = 1_500
+
+
+class Comeback(Struct, forbid_unknown_fields=True, frozen=True):
+    told: bool = True
+    most_ms: Ms = 2_000
+
+
+class Limits(Struct, forbid_unknown_fields=True, frozen=True):
+    """`lag_ms` 0: the loop's lag refuses nothing. `tick_ms`: how late the program may be by itself."""
+
+    open_calls: Count = 60_000
+    transactions: Count = 400_000
+    seizures: Annotated[int, Meta(ge=1, le=10)] = 5
+    connections: Count = 1_024
+    unsent_bytes: Count = 1_000_000
+    connect_ms: MsOver0 = 500
+    partial_ms: MsOver0 = 10_000
+    lag_ms: Ms = 250
+    tick_ms: MsOver0 = 5
+    call_s: Count = 14_400
+
+
+class Sip(Struct, forbid_unknown_fields=True, frozen=True):
+    """RFC 3261's T1, T2 and T4. `trunk_context`: with it, the trunk group goes into the Request-URI (RFC 4904)."""
+
+    t1_ms: MsOver0 = 500
+    t2_ms: MsOver0 = 4_000
+    t4_ms: MsOver0 = 5_000
+    trunk_context: str = ""
+
+
+class Stop(Struct, forbid_unknown_fields=True, frozen=True):
+    """On SIGTERM: calls may go on for `calls_ms`, then are released; after `quit_ms` more the process ends."""
+
+    calls_ms: Ms = 30_000
+    quit_ms: Ms = 35_000
+
+
+class Log(Struct, forbid_unknown_fields=True, frozen=True):
+    level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
+    file: str = ""
+
+
+class Settings(Struct, forbid_unknown_fields=True, frozen=True):
+    listen: Annotated[list[str], Meta(min_length=1)]
+    trunk_groups: Annotated[list[TrunkGroup], Meta(min_length=1)]
+    servers: Annotated[list[CentralServer], Meta(min_length=1)]
+    call_types: Annotated[list[CallType], Meta(min_length=1)]
+    sort: Annotated[list[Row], Meta(min_length=1)]
+    name: Name = "proxy"
+    instances: Count = 1
+    clients: list[Client] = []
+    over_quota_part: Share = 1.0
+    load_header: str = "X-Load"
+    book: Book | None = None
+    rules: Rules = Rules()
+    comeback: Comeback = Comeback()
+    limits: Limits = Limits()
+    sip: Sip = Sip()
+    stop: Stop = Stop()
+    log: Log = Log()
--- /dev/null
+++ b/thorndale/daemon/run.py
@@ -0,0 +1,118 @@
+"""One border proxy's life: opened in order, run until SIGTERM or SIGINT, emptied, closed in the other order."""
+
+import asyncio
+import contextlib
+import os
+import secrets
+import signal
+import time
+
+import uvloop
+
+from thorndale.call.border import Border
+from thorndale.config.load import listener
+from thorndale.daemon import keep
+from thorndale.daemon.log import open_log
+from thorndale.net.ends import Ends, now_us
+
+LOOK_S = 0.05  # between two looks whether the last call has ended, once it is told to stop
+HEART_S = 0.05  # between two looks at the loop's lag, which also holds while no timer is due
+
+
+class StartError(Exception):
+    """What keeps the daemon from starting, with what to do."""
+
+
+async def serve(settings, ready=lambda: None):
+    """Runs a proxy until it is told to stop. Raises StartError before anything is served."""
+    loop = asyncio.get_running_loop()
+    before = descriptors()  # the loop has some of its own
+    try:
+        say, close_log = open_log(settings.log, settings.name)
+    except OSError as fault:
+        raise StartError(f"log.file: {settings.log.file} cannot be written: {fault.strerror}") from None
+    listeners = [listener(text) for text in settings.listen]
+    ends = Ends(loop, settings.limits)
+    path = settings.book.file if settings.book else ""
+    keeper = keep.Keeper(loop, path, say)
+    seed = secrets.randbits(64)
+    border = Border(settings, seed, listeners, ends.send, say, keeper.keep, time.time_ns() // 1000 - now_us())
+    ends.core = border
+    try:
+        ends.open(listeners)
+    except OSError as fault:
+        await ends.close()
+        await keeper.close()
+        close_log()
+        raise StartError(f"{fault.filename} cannot be opened: {fault.strerror}; is another program there?") from None
+    told = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    heart = loop.create_task(_heart(border))
+    try:
+        border.start(now_us(), keep.read(path, say))
+        ends.arm()
+        say("info", "started", listen=settings.listen, pid=os.getpid())
+        ready()
+        await told.wait()
+        await _stop(settings, border, ends, say)
+    finally:
+        heart.cancel()
+        await asyncio.gather(heart, return_exceptions=True)
+        border.finish()
+        left = border.left()
+        await ends.close()
+        await keeper.close()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.remove_signal_handler(number)
+        tasks = len(asyncio.all_tasks()) - 1
+        say("info", "stopped", left=left, tasks=tasks, descriptors=descriptors() - before, counts=dict(border.count),
+            book=border.book.told if border.book else {}, tcp=ends.tcp.count,
+            dropped=sum(u.dropped for u in ends.udp), refused_early=border.press.refused)
+        close_log()
+
+
+async def _heart(border):
+    """Looks at the loop's lag: what a fixed wait takes longer than it should."""
+    while True:
+        before = now_us()
+        await asyncio.sleep(HEART_S)
+        now = now_us()
+        border.late(now, max(0, now - before - int(HEART_S * 1e6)))
+
+
+async def _stop(settings, border, ends, say):
+    """No new calls; then what is under way has `calls_ms`, and what is left is released within `quit_ms`."""
+    say("info", "stopping", calls=border.open_calls())
+    border.stop(now_us())
+    border.flush(now_us())
+    ends.arm()
+    end = now_us() + settings.stop.calls_ms * 1000
+    while border.open_calls() and now_us() < end:
+        await asyncio.sleep(LOOK_S)
+    if border.open_calls():
+        say("info", "releasing calls", calls=border.open_calls())
+        border.close_calls(now_us())
+        border.flush(now_us())
+        ends.arm()
+    end = now_us() + settings.stop.quit_ms * 1000
+    while (border.open_calls() or len(border.layer)) and now_us() < end:
+        await asyncio.sleep(LOOK_S)
+
+
+def descriptors():
+    """Sockets that this process holds open, or -1 where that cannot be seen."""
+    found = 0
+    try:
+        for name in os.listdir("/proc/self/fd"):
+            with contextlib.suppress(OSError):
+                found += os.readlink(f"/proc/self/fd/{name}").startswith("socket:")
+    except OSError:
+        return -1
+    return found
+
+
+def run(settings):
+    """Runs `serve` on uvloop to its end."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve(settings))
--- /dev/null
+++ b/thorndale/net/ends.py
@@ -0,0 +1,106 @@
+"""All sockets of one element behind one `send`, and its one timer on the loop's clock in whole microseconds."""
+
+import time
+
+from thorndale.net.tcp import Tcp
+from thorndale.net.udp import Udp
+
+READ_FIRST_US = 20_000  # us that a timer may be late before the sockets are read ahead of it (see `Ends`)
+SWEEP_S = 1.0
+
+
+def now_us():
+    """The clock that all times inside are told by: it only advances, and is the same in all processes here."""
+    return time.monotonic_ns() // 1000
+
+
+class Ends:
+    """Carries bytes between sockets and a core that has `receive(now, data, hop, stream)`, `lost(now, hop, kind)`,
+    `run(now, most)`, `flush(now)`, `late(now, us)` and `timers`.
+
+    When the process stood still, what lies in the sockets came before what falls due now; so a late timer reads
+    them first. Else answers that were there would be taken for time-outs.
+    """
+
+    def __init__(self, loop, limits, core=None):
+        self.loop, self.limits, self.core = loop, limits, core
+        self.udp, self.tcp = [], Tcp(loop, limits, self._stream, self._lost, self.batch)
+        self.by_family = {}
+        self.handle, self.handle_at, self.sweeper = None, 0, None
+        self.closed = False
+
+    def open(self, listeners):
+        """Opens all or none. Raises OSError with `filename` set to the listener's name."""
+        for transport, host, port in listeners:
+            try:
+                if transport == "udp":
+                    udp = Udp(self.loop, host, port, self._datagram, self._unreachable, self.batch)
+                    self.udp.append(udp)
+                    self.by_family.setdefault(":" in host, udp)
+                else:
+                    self.tcp.listen(host, port)
+            except OSError as fault:
+                fault.filename = f"{transport}:{host}:{port}"
+                raise
+        self._sweep()
+
+    def _sweep(self):
+        self.tcp.sweep()
+        self.sweeper = self.loop.call_later(SWEEP_S, self._sweep)
+
+    def _datagram(self, data, hop):
+        self.core.receive(now_us(), data, hop)
+
+    def _stream(self, data, hop):
+        self.core.receive(now_us(), data, hop, True)
+
+    def _unreachable(self, hop):
+        self.core.lost(now_us(), hop, "refused")
+
+    def _lost(self, hop, kind):
+        self.core.lost(now_us(), hop, kind)
+
+    def send(self, hop, data):
+        if hop.transport == "udp":
+            udp = self.by_family.get(":" in hop.host)
+            if udp is not None:
+                udp.send(hop, data)
+        else:
+            self.tcp.send(hop, data)
+
+    def batch(self):
+        """After each batch of events: what the core makes of it, and its next timer."""
+        if self.closed:
+            return
+        self.core.flush(now_us())
+        self.arm()
+
+    def arm(self):
+        at = self.core.timers.next_at()
+        if at is None or (self.handle is not None and self.handle_at <= at):
+            return
+        if self.handle is not None:
+            self.handle.cancel()
+        self.handle_at = at
+        self.handle = self.loop.call_later(max(0.0, (at - now_us()) / 1e6), self._due)
+
+    def _due(self):
+        self.handle = None
+        now = now_us()
+        late = now - self.handle_at
+        if late > READ_FIRST_US:
+            self.core.late(now, late)
+            for udp in self.udp:
+                udp.read(1024)
+        self.core.run(now)
+        self.core.flush(now)
+        self.arm()
+
+    async def close(self):
+        self.closed = True
+        for handle in (self.handle, self.sweeper):
+            if handle is not None:
+                handle.cancel()
+        await self.tcp.close()
+        for udp in self.udp:
+            udp.close()
--- /dev/null
+++ b/thorndale/sip/message.py
@@ -0,0 +1,308 @@
+"""Messages (RFC 3261 section 7): parsed only as far as asked for, since this is the hot path.
+
+A message keeps its header fields in order, as they came. What is inside a value is read when somebody asks
+and then kept. Text is UTF-8; bytes that are not stay as surrogates and go out as they came.
+"""
+
+from thorndale.sip import headers as h
+from thorndale.sip.errors import SipError
+
+MAX_HEAD = 16_384  # bytes of start line and header fields together: several times the largest seen in use
+MAX_BODY = 65_536  # bytes; a session body is some hundred
+MAX_FIELDS = 256  # header fields of one message
+VERSION = "SIP/2.0"
+
+COMPACT = {  # RFC 3261 section 20 and the registry of SIP header fields
+    "i": "call-id", "m": "contact", "e": "content-encoding", "l": "content-length", "c": "content-type",
+    "f": "from", "s": "subject", "k": "supported", "t": "to", "v": "via", "o": "event", "u": "allow-events",
+    "r": "refer-to", "b": "referred-by", "x": "session-expires", "a": "accept-contact", "j": "reject-contact",
+    "d": "request-disposition", "y": "identity",
+}
+LISTED = frozenset((
+    "via", "route", "record-route", "contact", "supported", "require", "proxy-require", "unsupported", "allow",
+    "accept",
+))
+NEEDED = ("via", "from", "to", "call-id", "cseq")
+ONCE = ("from", "to", "call-id", "cseq", "content-length", "max-forwards")
+REASONS = {
+    100: "Trying", 180: "Ringing", 181: "Call Is Being Forwarded", 183: "Session Progress", 200: "OK",
+    202: "Accepted", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed",
+    408: "Request Timeout", 413: "Request Entity Too Large", 415: "Unsupported Media Type",
+    416: "Unsupported URI Scheme", 420: "Bad Extension", 423: "Interval Too Brief", 480: "Temporarily Unavailable",
+    481: "Call/Transaction Does Not Exist", 482: "Loop Detected", 483: "Too Many Hops", 484: "Address Incomplete",
+    486: "Busy Here", 487: "Request Terminated", 488: "Not Acceptable Here", 489: "Bad Event",
+    491: "Request Pending", 500: "Server Internal Error", 501: "Not Implemented", 502: "Bad Gateway",
+    503: "Service Unavailable", 504: "Server Time-out", 505: "Version Not Supported", 513: "Message Too Large",
+    600: "Busy Everywhere", 603: "Decline",
+}
+_KEYS = {}  # header names as written: their key; bounded, since peers choose the names
+_KEYS_MOST = 1024
+
+
+def key_of(name):
+    """The one key of a header name: lower case, compact forms resolved. Raises SipError for no token."""
+    key = _KEYS.get(name)
+    if key is None:
+        key = name.rstrip(" \t").lower()
+        if not h.is_token(key):
+            raise SipError(f"no header name: {name[:30]!r}", "header")
+        key = COMPACT.get(key, key)
+        if len(_KEYS) < _KEYS_MOST:
+            _KEYS[name] = key
+    return key
+
+
+class Message:
+    """A request (`method` and `uri`) or a response (`status` and `reason`; `method` is then '').
+
+    `fields` is a list of (key, name as written, value); `body` is bytes.
+    """
+
+    __slots__ = ("method", "uri", "status", "reason", "fields", "body", "_seen")
+
+    def __init__(self, method="", uri="", status=0, reason="", fields=None, body=b""):
+        self.method, self.uri, self.status, self.reason = method, uri, status, reason
+        self.fields, self.body, self._seen = [] if fields is None else fields, body, {}
+
+    def get(self, key, default=""):
+        """The first value under `key`, as text."""
+        for field in self.fields:
+            if field[0] == key:
+                return field[2]
+        return default
+
+    def has(self, key):
+        return any(field[0] == key for field in self.fields)
+
+    def all(self, key):
+        """All values under `key`, each line split where the header is a list."""
+        found = []
+        for field in self.fields:
+            if field[0] == key:
+                if key in LISTED:
+                    found += h.split_list(field[2])
+                else:
+                    found.append(field[2])
+        return found
+
+    def _once(self, name, make):
+        found = self._seen.get(name)
+        if found is None:
+            found = self._seen[name] = make()
+        return found
+
+    @property
+    def via(self):
+        """The top Via. Raises SipError."""
+        return self._once("via", lambda: h.parse_via((h.split_list(self.get("via")) or [""])[0]))
+
+    @property
+    def cseq(self):
+        """number, method. Raises SipError."""
+        return self._once("cseq", lambda: h.parse_cseq(self.get("cseq")))
+
+    @property
+    def from_(self):
+        return self._once("from", lambda: h.parse_address(self.get("from"), "From"))
+
+    @property
+    def to(self):
+        return self._once("to", lambda: h.parse_address(self.get("to"), "To"))
+
+    @property
+    def contact(self):
+        """The first Contact, or None. Raises SipError."""
+        values = self.all("contact")
+        return h.parse_address(values[0], "Contact") if values else None
+
+    @property
+    def call_id(self):
+        return self.get("call-id")
+
+    @property
+    def from_tag(self):
+        return self.from_.params.get("tag", "")
+
+    @property
+    def to_tag(self):
+        return self.to.params.get("tag", "")
+
+    def add(self, name, value):
+        self.fields.append((key_of(name), name, value))
+        return self
+
+    def set(self, name, value):
+        """Replaces all fields of this name by one, at the place of the first; appends where there is none."""
+        key = key_of(name)
+        for at, field in enumerate(self.fields):
+            if field[0] == key:
+                self.fields[at] = (key, name, value)
+                self.fields[at + 1:] = [f for f in self.fields[at + 1:] if f[0] != key]
+                break
+        else:
+            self.fields.append((key, name, value))
+        self._seen.clear()
+        return self
+
+    def encode(self):
+        """The message as bytes, its Content-Length made to fit."""
+        first = f"{self.method} {self.uri} SIP/2.0" if self.method else f"SIP/2.0 {self.status} {self.reason}"
+        lines = [first]
+        lines += [f"{name}: {value}" for key, name, value in self.fields if key != "content-length"]
+        lines.append(f"Content-Length: {len(self.body)}\r\n\r\n")
+        return "\r\n".join(lines).encode("utf-8", "surrogateescape") + self.body
+
+
+def parse(data, stream=False):
+    """One message from bytes: a datagram, or with `stream` exactly one framed message.
+
+    Raises SipError; its `message` is what could be read, enough to answer it, or None. The syntax of the start
+    line and of the header fields' outside is checked, and the body cut to its Content-Length (RFC 3261 section
+    18.3); what is inside the values is checked by `check`.
+    """
+    end = data.find(b"\r\n\r\n")
+    if end < 0:
+        raise SipError("no empty line after the header fields", "message")
+    if end > MAX_HEAD:
+        raise SipError(f"more than {MAX_HEAD} bytes of header fields", "message", 513)
+    head = bytes(data[:end]).decode("utf-8", "surrogateescape")
+    if head.startswith("\r\n"):
+        head = head.lstrip("\r\n")  # RFC 3261 section 7.5: empty lines before the start line
+    if "\r\n " in head or "\r\n\t" in head:
+        head = head.replace("\r\n\t", "\r\n ")
+        first, *rest = head.split("\r\n ")
+        head = " ".join([first.rstrip(" \t"), *(r.strip(" \t") for r in rest)])
+    lines = head.split("\r\n")
+    if len(lines) > MAX_FIELDS:
+        raise SipError(f"more than {MAX_FIELDS} header fields", "message", 513)
+    message, fault = _start(lines[0])
+    fields = message.fields
+    keys = _KEYS
+    for line in lines[1:]:
+        name, colon, value = line.partition(":")
+        try:
+            if not colon:
+                raise SipError(f"no ':' in {line[:30]!r}", "header")
+            if "\n" in value or "\r" in value or "\0" in value:
+                raise SipError("a bare line end or NUL inside", name[:30])
+            fields.append((keys.get(name) or key_of(name), name.rstrip(" \t"), value.strip(" \t")))
+        except SipError as bad:
+            fault = fault or bad
+    if fault is not None:
+        fault.message = message
+        raise fault
+    try:
+        message.body = _body(message, bytes(data[end + 4:]), stream)
+    except SipError as bad:
+        bad.message = message
+        raise
+    return message
+
+
+def _body(message, body, stream):
+    said = message.get("content-length")
+    if said:
+        length = h.parse_count(said, "Content-Length", MAX_BODY)
+        if length > len(body):
+            raise SipError(f"{length} bytes said, {len(body)} there", "Content-Length")
+        return body[:length]
+    if stream and body:
+        raise SipError("needed on a stream", "Content-Length")
+    return body
+
+
+def _start(line):
+    """The message of a start line, and the fault of one that can be answered all the same."""
+    if line.startswith("SIP/"):
+        version, _, rest = line.partition(" ")
+        status, _, reason = rest.partition(" ")
+        if version != VERSION or len(status) != 3 or not (status.isascii() and status.isdigit()):
+            raise SipError(f"no status line: {line[:40]!r}", "start line")
+        if not 100 <= int(status) <= 699:
+            raise SipError(f"status {status}", "start line")
+        if "\n" in reason or "\r" in reason:
+            raise SipError("a bare line end inside", "start line")
+        return Message(status=int(status), reason=reason), None
+    parts = line.split(" ")
+    if len(parts) != 3 or not h.is_token(parts[0]) or not parts[1]:
+        raise SipError(f"no 'METHOD URI VERSION': {line[:40]!r}", "start line")
+    version, fault = parts[2], None
+    if version.upper() != VERSION:
+        odd = version.upper().startswith("SIP/")
+        fault = SipError(f"version {version[:20]!r}", "start line", 505 if odd else 400)
+    elif any(c in parts[1] for c in '<>"\t\n\r'):
+        fault = SipError("a bracket, quote or space in the Request-URI", "start line")
+    return Message(method=parts[0], uri=parts[1]), fault
+
+
+def check(message):
+    """What every message must hold (RFC 3261 sections 8.1.1 and 8.2). Raises SipError with the status due."""
+    counts = {}
+    for key, _, _ in message.fields:
+        counts[key] = counts.get(key, 0) + 1
+    for key in NEEDED:
+        if not counts.get(key):
+            raise SipError("is missing", key)
+    for key in ONCE:
+        if counts.get(key, 0) > 1:
+            raise SipError("stands more than once", key)
+    if not message.call_id or " " in message.call_id:
+        raise SipError("is no word", "Call-ID")
+    number, method = message.cseq
+    if message.method and method != message.method:
+        raise SipError(f"{method[:20]} in a {message.method[:20]}", "CSeq")
+    message.via, message.from_, message.to  # noqa: B018 - each parses its value
+    if message.method == "INVITE" and message.has("contact"):
+        message.contact  # noqa: B018
+    hops = message.get("max-forwards")
+    if hops:
+        h.parse_count(hops, "Max-Forwards", 255)
+    return number
+
+
+def response_to(request, status, to_tag="", reason="", extra=(), body=b""):
+    """A response (RFC 3261 section 8.2.6): Via, From, To, Call-ID and CSeq from the request, then `extra`
+    (pairs of name and value)."""
+    fields = []
+    for field in request.fields:
+        key = field[0]
+        if key == "via" or key == "from" or key == "call-id" or key == "cseq":
+            fields.append(field)
+        elif key == "to":
+            value = field[2]
+            if to_tag and status > 100 and ";tag=" not in value.rpartition(">")[2].replace(" ", "").lower():
+                value = f"{value};tag={to_tag}"
+            fields.append((key, "To", value))
+        elif key == "timestamp" and status == 100:
+            fields.append(field)
+    for name, value in extra:
+        fields.append((key_of(name), name, value))
+    return Message("", "", status, reason or REASONS.get(status, "Unknown"), fields, body)
+
+
+def received_from(message, host, port):
+    """Notes on the top Via where the request came from: `received` (RFC 3261 section 18.2.1) and `rport`
+    (RFC 3581 section 4). Raises SipError."""
+    via = message.via
+    wants = via.params.get("rport") == "" and "rport" in via.params
+    if not wants and via.host == host:
+        return
+    for at, field in enumerate(message.fields):
+        if field[0] == "via":
+            first, *rest = h.split_list(field[2])
+            if wants:
+                pieces = first.split(";")
+                first = ";".join(f"rport={port}" if p.strip().lower() == "rport" else p for p in pieces)
+            first += f";received={host}"
+            message.fields[at] = ("via", field[1], ", ".join([first, *rest]))
+            break
+    message._seen.pop("via", None)
+
+
+def reply_address(message):
+    """host, port to which a response to this request goes over UDP (RFC 3261 18.2.2, RFC 3581 section 4)."""
+    via = message.via
+    host = via.params.get("maddr") or via.params.get("received") or via.host
+    rport = via.params.get("rport", "")
+    port = int(rport) if rport.isascii() and rport.isdigit() and len(rport) < 6 else via.port or 5060
+    return host, port
--- /dev/null
+++ b/thorndale/standins/agent.py
@@ -0,0 +1,93 @@
+"""A user agent for stand-ins: sockets of its own, a transaction layer, and each message shown to the auditor."""
+
+from thorndale.net.ends import Ends, now_us
+from thorndale.sip import message as m
+from thorndale.sip.errors import SipError
+from thorndale.sip.transaction import Hop, Layer, Times
+from thorndale.sip.uri import host_port
+from thorndale.timers import Timers
+
+
+class Agent:
+    """`saw(now, place, way, data)` is the auditor's ear; `place` names this agent in it."""
+
+    def __init__(self, loop, limits, place, saw, times=None):
+        self.loop, self.limits, self.place, self.saw = loop, limits, place, saw
+        self.timers = Timers()
+        self.times = times or Times()
+        self.layer = Layer(self.timers, self.times, 1 << 20, self, self.send)
+        self.ends, self.port, self.host, self.serial = None, 0, "127.0.0.1", 0
+        self.mute = False  # takes nothing in and lets nothing out, as a hung process does
+
+    def open(self, listeners):
+        self.ends = Ends(self.loop, self.limits, self)
+        self.ends.open(listeners)
+        self.host, self.port = listeners[0][1], listeners[0][2]
+
+    async def close(self):
+        if self.ends is not None:
+            ends, self.ends = self.ends, None
+            await ends.close()
+
+    def send(self, hop, data):
+        if self.ends is not None and not self.mute:
+            self.saw(now_us(), self.place, "out", data)
+            self.ends.send(hop, data)
+
+    def receive(self, now, data, hop, stream=False):
+        self.saw(now, self.place, "in", data)
+        if self.mute:
+            return
+        try:
+            message = m.parse(data, stream)
+            m.check(message)
+            if message.method and not stream:
+                m.received_from(message, hop.host, hop.port)
+                hop = Hop("udp", *m.reply_address(message))
+            self.layer.receive(now, message, hop)
+        except SipError as fault:
+            self.saw(now, self.place, "fault", str(fault).encode())
+
+    def lost(self, now, hop, kind):
+        self.layer.lost(now, hop, kind)
+
+    def late(self, now, us):
+        pass
+
+    def run(self, now, most=1 << 30):
+        self.timers.run(now, most)
+
+    def flush(self, now):
+        pass
+
+    def arm(self):
+        if self.ends is not None:
+            self.ends.arm()
+
+    def branch(self):
+        self.serial += 1
+        return f"z9hG4bK{self.place.replace(':', '')}{self.serial:x}"
+
+    def contact(self, transport):
+        tail = ";transport=tcp" if transport == "tcp" else ""
+        return f"<sip:{host_port(self.host, self.port)}{tail}>"
+
+    # ---- the layer's user, where an agent has no more to say ----
+
+    def request(self, now, tx, message):
+        tx.respond(now, 405, "x")
+
+    def ack(self, now, message, hop):
+        pass
+
+    def stray(self, now, message, hop):
+        pass
+
+    def full(self, now, message, hop):
+        pass
+
+    def response(self, now, tx, message):
+        pass
+
+    def failed(self, now, tx, kind):
+        pass
--- /dev/null
+++ b/thorndale/standins/poolbook.py
@@ -0,0 +1,100 @@
+"""The pool book: tells subscribed proxies which boxes run, some time after it is so (RFC 6665)."""
+
+import msgspec
+
+from thorndale.sip.dialog import Dialog, via_text
+from thorndale.sip.errors import SipError
+from thorndale.standins.agent import Agent
+
+
+class PoolBook(Agent):
+    """`chance()` draws; each proxy is told of a change `notice_us` later, half to one and a half times."""
+
+    def __init__(self, loop, limits, port, notice_us, chance, saw, times=None):
+        super().__init__(loop, limits, "book", saw, times)
+        self.listener = ("udp", "127.0.0.1", port)
+        self.notice_us, self.chance = notice_us, chance
+        self.version, self.list, self.subscribers, self.log = 0, {}, {}, []
+        self.muddle = False  # repeats and swaps notifications
+
+    def start(self):
+        self.open([self.listener])
+
+    def uri(self):
+        return f"sip:book@127.0.0.1:{self.listener[2]}"
+
+    def change(self, now, name, state, started_ms):
+        """A box's state changes; subscribers hear of it later."""
+        self.version += 1
+        self.list[name] = {"name": name, "state": state, "started_ms": started_ms}
+        if state == "gone":
+            del self.list[name]
+        entry = {"name": name, "state": state, "started_ms": started_ms}
+        body = {"book": "1", "version": self.version, "full": False, "servers": [entry]}
+        for tag in sorted(self.subscribers):
+            wait = int(self.notice_us * (0.5 + self.chance()))
+            at = max(now + wait, self.subscribers[tag].last_at + 1)
+            self.subscribers[tag].last_at = at
+            self.timers.set(at, self.subscribers[tag], body)
+            if self.muddle:
+                self.timers.set(at + 50_000, self.subscribers[tag], body)
+        self.arm()
+
+    def request(self, now, tx, message):
+        if message.method != "SUBSCRIBE":
+            tx.respond(now, 405, "x")
+            return
+        expires = message.get("expires", "60")
+        tag = message.to_tag
+        if tag:
+            subscriber = self.subscribers.get(tag)
+            if subscriber is None:
+                tx.respond(now, 481)
+                return
+            tx.respond(now, 200, extra=[("Expires", expires), ("Contact", self.contact("udp"))])
+        else:
+            tag = f"b{now:x}{len(self.subscribers)}"
+            try:
+                dialog = Dialog.of_request(message, tag, tx.hop)
+            except SipError:
+                tx.respond(now, 400, "x")
+                return
+            subscriber = self.subscribers[tag] = Subscriber(self, dialog)
+            tx.respond(now, 200, tag, extra=[("Expires", expires), ("Contact", self.contact("udp"))])
+        if expires == "0":
+            self.subscribers.pop(tag, None)
+            subscriber.notify(now, None, "terminated;reason=timeout")
+            return
+        whole = {"book": "1", "version": self.version, "full": True, "servers": list(self.list.values())}
+        subscriber.notify(now, whole)
+
+    def forget_all(self):
+        """All subscriptions are lost, as after a restart of the book that kept nothing but its list."""
+        self.subscribers.clear()
+
+
+class Subscriber:
+    __slots__ = ("book", "dialog", "last_at")
+
+    def __init__(self, book, dialog):
+        self.book, self.dialog, self.last_at = book, dialog, 0
+
+    def due(self, now, name):
+        if self.book.subscribers.get(self.dialog.local_tag) is self:
+            self.notify(now, name)
+
+    def notify(self, now, body, state="active;expires=60"):
+        book = self.book
+        via = via_text("udp", "127.0.0.1", book.port, book.branch())
+        data = msgspec.json.encode(body) if body else b""
+        extra = [("Event", "pool-book"), ("Subscription-State", state), ("Contact", book.contact("udp"))]
+        if data:
+            extra.append(("Content-Type", "application/json"))
+        book.layer.request(now, self.dialog.request("NOTIFY", via, extra, data), self.dialog.hop, self)
+
+    def response(self, now, tx, message):
+        if message.status == 481:
+            self.book.subscribers.pop(self.dialog.local_tag, None)
+
+    def failed(self, now, tx, kind):
+        self.book.subscribers.pop(self.dialog.local_tag, None)
--- /dev/null
+++ b/thorndale/standins/script.py
@@ -0,0 +1,116 @@
+"""A scripted day: its shape, read from JSON5 and checked."""
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from thorndale.config.load import ConfigError, shaped
+
+Us = Annotated[float, Meta(gt=0)]
+KINDS = ("dies", "drains", "slow", "hangs", "ages", "loses answers", "resets", "reports late", "floods", "proxy killed",
+         "proxy stopped", "burst", "one proxy", "book lost", "book muddled")
+
+
+class BoxPlan(Struct, forbid_unknown_fields=True):
+    name: str
+    trunk_group: str
+    transport: Annotated[str, Meta(pattern="^(udp|tcp)$")] = "udp"
+    setup_ms: Us = 8.0
+    lines: int = 4000
+
+
+class TypePlan(Struct, forbid_unknown_fields=True):
+    name: str
+    prefix: str
+    part: float
+    setup_target_ms: int
+    guard_ms: int
+    patience_s: int
+    hold_ms: int
+    revenue: float = 1.0
+
+
+class Fault(Struct, forbid_unknown_fields=True):
+    """`who` names boxes or proxies; `size` is the kind's own: times slower, a part, seconds."""
+
+    at: float
+    kind: str
+    who: list[str] = []
+    seconds: float = 1.0
+    size: float = 1.0
+
+
+class Day(Struct, forbid_unknown_fields=True):
+    seconds: Annotated[float, Meta(gt=0, le=3600)]
+    rate: Annotated[float, Meta(gt=0, le=5000)]
+    boxes: Annotated[list[BoxPlan], Meta(min_length=1)]
+    types: Annotated[list[TypePlan], Meta(min_length=1)]
+    proxies: Annotated[int, Meta(ge=1, le=32)] = 3
+    seed: int = 1
+    tcp_part: float = 0.3
+    cancel_part: float = 0.0
+    busy_part: float = 0.01
+    redials: int = 3
+    notice_s: float = 1.5
+    drain_s: float = 4.0
+    queue_ms: int = 2500
+    cold_from: float = 0.35
+    warm_ms: int = 10_000
+    fall_multiple: float = 2.0
+    fall_ms: int = 1500
+    t1_ms: int = 500
+    faults: list[Fault] = []
+
+
+def read_day(raw, where):
+    """A Day. Raises ConfigError with every fault by its path."""
+    from msgspec import convert
+
+    faults = []
+    shaped(raw, Day, "", faults)
+    if faults:
+        raise ConfigError(where, faults)
+    day = convert(raw, Day)
+    boxes = {b.name for b in day.boxes}
+    proxies = {f"proxy{n + 1}" for n in range(day.proxies)}
+    for n, fault in enumerate(day.faults):
+        if fault.kind not in KINDS:
+            faults.append(f"faults[{n}].kind: {fault.kind!r} is none of {', '.join(KINDS)}")
+            continue
+        among = proxies if "proxy" in fault.kind else boxes
+        for name in fault.who:
+            if name not in among:
+                faults.append(f"faults[{n}].who: {name!r} is none of {', '.join(sorted(among))}")
+        if not fault.who and fault.kind not in ("burst", "book lost", "book muddled"):
+            faults.append(f"faults[{n}].who: {fault.kind!r} needs at least one")
+        if fault.at >= day.seconds:
+            faults.append(f"faults[{n}].at: {fault.at} is after the end")
+    if abs(sum(t.part for t in day.types) - 1) > 0.01:
+        faults.append("types: the parts should add up to 1")
+    if faults:
+        raise ConfigError(where, faults)
+    return day
+
+
+def settings_of(day, number, port, boxes, book_uri, folder):
+    """The settings file of one proxy of the day, as a map."""
+    groups = list(dict.fromkeys(b.trunk_group for b in day.boxes))
+    return {
+        "name": f"proxy{number + 1}",
+        "instances": day.proxies,
+        "listen": [f"udp:127.0.0.1:{port}", f"tcp:127.0.0.1:{port}"],
+        "trunk_groups": [{"name": g} for g in groups],
+        "servers": [{"name": b.name, "uri": uri, "trunk_group": b.trunk_group}
+                    for b, uri in zip(day.boxes, boxes, strict=True)],
+        "call_types": [{"name": t.name, "setup_target_ms": t.setup_target_ms, "guard_ms": t.guard_ms,
+                        "hold_ms": t.hold_ms, "revenue": t.revenue, "late_part": 0.25, "trunk_groups": groups}
+                       for t in day.types],
+        "sort": [{"prefix": t.prefix + g_digit, "call_type": t.name, "trunk_group": g}
+                 for t in day.types for g_digit, g in zip("0123456789", groups, strict=False)],
+        "book": {"uri": book_uri, "file": f"{folder}/proxy{number + 1}.book", "expires_s": 20},
+        "rules": {"release_ms": 500, "drain_grace_ms": 500, "start_capacity": min(0.28, day.cold_from),
+                  "warm_up_ms": day.warm_ms, "fall_multiple": day.fall_multiple, "fall_ms": day.fall_ms},
+        "sip": {"t1_ms": day.t1_ms, "t2_ms": 8 * day.t1_ms, "t4_ms": 10 * day.t1_ms},
+        "stop": {"calls_ms": 3000, "quit_ms": 70 * day.t1_ms},
+        "log": {"level": "info", "file": f"{folder}/proxy{number + 1}.log"},
+    }
