--- a/thorndale/call/border.py
+++ b/thorndale/call/border.py
@@ -8,6 +8,8 @@
 
 from collections import Counter, deque
 
+from xxhash import xxh64_intdigest
+
 from thorndale import interface as io
 from thorndale.call.book import Book, Ending
 from thorndale.call.call import BOX, CALLER, Call
@@ -48,7 +50,7 @@
         self.layer = Layer(self.timers, times, settings.limits.transactions, self, self._out)
         self.door = Door(seed, settings)
         self.sorter = Sorter(settings)
-        self.press = Press(settings.limits.lag_ms * 1000, settings.limits.open_calls)
+        self.press = Press(settings.limits.lag_ms * 1000, settings.limits.open_calls, times.most)
         self.server_hops = [hop_of(s.uri) for s in settings.servers]
         self.server_names = [s.name for s in settings.servers]
         self.server_groups = [s.trunk_group for s in settings.servers]
@@ -197,22 +199,31 @@
     def _refused_early(self, now, message, hop):
         """Whether a new call was turned away without a transaction: this proxy is stopping or behind. Its ACK finds
         nothing and is passed over."""
-        if not self.stopping and not self.press.refuses(now, len(self.door)):
+        press = self.press
+        if press.fresh or press.older:
+            key = self.layer.key(message, message.via)
+            if press.knows(_number(key)):
+                self._refuse(now, message, hop, "refused again")
+                return True
+        if not self.stopping and not press.refuses(now, len(self.door)):
             return False
         if message.to_tag or self.layer.key(message, message.via) in self.layer.servers:
             return False  # a call that was taken: its own matter
-        self._refuse(message, hop, "refused early")
+        self._refuse(now, message, hop, "refused early")
         return True
 
-    def _refuse(self, message, hop, why):
+    def _refuse(self, now, message, hop, why):
+        """503 without a transaction; the same tag and wait for the same request, however often it comes."""
         self.count[why] += 1
-        wait = int(self.settings.comeback.most_ms * 1000 * (1 + self.chance()) / 2)
+        number = _number(self.layer.key(message, message.via))
+        self.press.remember(now, number)
+        wait = int(self.settings.comeback.most_ms * 1000 * (1 + (number >> 32) / (1 << 32)) / 2)
         extra = comeback(wait) if self.settings.comeback.told else []
-        self._out(hop, m.response_to(message, 503, self.token(), extra=extra).encode())
+        self._out(hop, m.response_to(message, 503, f"{number:016x}", extra=extra).encode())
 
     def full(self, now, message, hop):
         """The bound on transactions is reached: a request is turned away without one."""
-        self._refuse(message, hop, "transactions full")
+        self._refuse(now, message, hop, "transactions full")
 
     def lost(self, now, hop, kind):
         """A connection ended ('lost'), or an address could not be reached ('refused')."""
@@ -416,6 +427,11 @@
                 "transactions": len(self.layer), "timers": len(self.timers)}
 
 
+def _number(key):
+    """A request's number in 64 bits, from what its server transaction would be known by."""
+    return xxh64_intdigest(repr(key).encode("utf-8", "surrogateescape"))
+
+
 def _plain(fault):
     """A fault's text as a quoted string that can stand in a Warning header."""
     text = str(fault).encode("ascii", "replace").decode()
--- a/thorndale/cli/main.py
+++ b/thorndale/cli/main.py
@@ -54,23 +54,20 @@
     """Plays a day on loopback and judges the five rules. Exit code 1 where one was broken or something leaked."""
     import os
 
-    import pyjson5
-
     from thorndale.cli.tables import print_day
     from thorndale.standins.day import DayError, exit_code, play
-    from thorndale.standins.script import read_day
+    from thorndale.standins.script import read_file
 
     try:
-        with open(file, encoding="utf-8") as text:
-            plan = read_day(pyjson5.decode(text.read()), file)
+        plan = read_file(file)
         if keep:
             os.makedirs(keep, exist_ok=True)
     except ConfigError as fault:
         for line in fault.faults:
             typer.echo(f"{file}: {line}", err=True)
         raise typer.Exit(2) from None
-    except (OSError, ValueError, pyjson5.Json5Exception) as fault:
-        typer.echo(f"{file}: {fault}", err=True)
+    except OSError as fault:
+        typer.echo(f"{keep}: cannot be made: {fault.strerror}", err=True)
         raise typer.Exit(2) from None
     try:
         player, breaks = play(plan, calls, folder=keep or None)
--- a/thorndale/daemon/run.py
+++ b/thorndale/daemon/run.py
@@ -38,6 +38,8 @@
     seed = secrets.randbits(64)
     border = Border(settings, seed, listeners, ends.send, say, keeper.keep, time.time_ns() // 1000 - now_us())
     ends.core = border
+    loop.set_exception_handler(lambda _, context: say("error", "fault in the program", fault=repr(
+        context.get("exception") or context.get("message")), where=repr(context.get("handle", ""))))
     try:
         ends.open(listeners)
     except OSError as fault:
--- a/thorndale/net/ends.py
+++ b/thorndale/net/ends.py
@@ -92,9 +92,11 @@
             self.core.late(now, late)
             for udp in self.udp:
                 udp.read(1024)
-        self.core.run(now)
-        self.core.flush(now)
-        self.arm()
+        try:
+            self.core.run(now)
+            self.core.flush(now)
+        finally:
+            self.arm()  # a fault in one callback must not stop the clock of all the others
 
     async def close(self):
         self.closed = True
--- a/thorndale/net/udp.py
+++ b/thorndale/net/udp.py
@@ -1,9 +1,12 @@
 """Datagram sockets. uvloop has no `sock_recvfrom`, so they are read through `add_reader`, in bounded batches.
 
-With IP_RECVERR, Linux tells which address an ICMP 'port unreachable' was about; other systems just tell none.
+With IP_RECVERR, Linux tells which address an ICMP 'port unreachable' was about. A socket with such an error shows
+POLLERR, at which libuv gives a descriptor up for good (tried: the socket was never read again). So on Linux the loop
+watches an epoll of this one socket instead, which is simply readable. Elsewhere no address is told unreachable.
 """
 
 import contextlib
+import select
 import socket
 
 from thorndale.sip.transaction import Hop
@@ -28,14 +31,19 @@
             self.sock.setblocking(False)
             for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
                 self.sock.setsockopt(socket.SOL_SOCKET, option, BUFFER)
-            with contextlib.suppress(OSError):
-                self.sock.setsockopt(*_RECVERR[family], 1)
             self.sock.bind((host, port))
+            self.poll = None
+            if hasattr(select, "epoll"):
+                with contextlib.suppress(OSError):
+                    self.sock.setsockopt(*_RECVERR[family], 1)
+                self.poll = select.epoll(1)
+                self.poll.register(self.sock, select.EPOLLIN)
         except OSError:
             self.sock.close()
             raise
         self.buffer = bytearray(LARGEST)
-        loop.add_reader(self.sock.fileno(), self._readable)
+        self.watched = self.poll or self.sock
+        loop.add_reader(self.watched.fileno(), self._readable)
 
     def _readable(self):
         self.read()
@@ -58,7 +66,6 @@
 
     def _errors(self):
         """Reads the queue of errors; gives how many there were."""
-        found = 0
         for found in range(BATCH):
             try:
                 _, _, _, address = self.sock.recvmsg(0, 512, _MSG_ERRQUEUE)
@@ -66,7 +73,7 @@
                 return found
             if address:
                 self.on_lost(Hop("udp", address[0], address[1], 0))
-        return found
+        return BATCH
 
     def send(self, hop, data):
         for _ in range(2):  # an error that belongs to an earlier datagram is reported at the next send
@@ -81,5 +88,7 @@
         self.dropped += 1
 
     def close(self):
-        self.loop.remove_reader(self.sock.fileno())
+        self.loop.remove_reader(self.watched.fileno())
+        if self.poll is not None:
+            self.poll.close()
         self.sock.close()
--- a/thorndale/standins/audit.py
+++ b/thorndale/standins/audit.py
@@ -47,7 +47,7 @@
         self.tries, self.calls = {}, {}  # branch: Try; token: its seizures, oldest first
         self.by_branch, self.by_call_id = {}, {}  # a proxy's branch, and its Call-ID: Seizure
         self.proxies, self.by_address = {}, {}
-        self.dead, self.halts = {}, {}  # proxy: times killed; proxy: [(stopped, went on)]
+        self.dead, self.halts = {}, {}  # proxy: [[killed, up again]]; proxy: [[stopped, went on]]
         self.told = {}  # (proxy address, box): when told draining or gone
         self.notified = {}  # branch of a NOTIFY: (proxy address, entries)
         self.cold, self.arrived = {}, {}  # box: when it started cold; times of INVITEs since
@@ -67,7 +67,9 @@
 
     def did(self, now, what, name):
         if what == "killed":
-            self.dead[name].append(now)
+            self.dead[name].append([now, 0])
+        elif what == "up":
+            self.dead[name][-1][1] = now
         elif what == "stopped":
             self.halts[name].append([now, 0])
         elif what == "went on":
@@ -180,7 +182,7 @@
         seizures = self.calls.setdefault(token, [])
         if seizures and owner.at < seizures[-1].at:  # else it is a redial: to the proxy a call of its own
             last = seizures[-1]
-            gone = any(last.at <= t for t in self.dead.get(last.proxy, ()))
+            gone = any(last.at <= t for t, _ in self.dead.get(last.proxy, ()))
             if not last.ended and not gone:
                 self.broke(now, "one seizure", f"{proxy}: {name} seized while one at {last.box} is out")
             waited = now - last.ended + CLOCK_US
@@ -229,7 +231,7 @@
         """All breaks, oldest first: (us, rule, text). A call held by a proxy that was killed is no longer its duty;
         for a proxy that stood still the time it was given goes on when it does."""
         for made in self.tries.values():
-            killed = any(made.at <= t <= made.until for t in self.dead.get(made.proxy, ()))
+            killed = any(made.at <= (up or now) and t <= made.until for t, up in self.dead.get(made.proxy, ()))
             if killed and (not made.finals or made.final_at > made.until):
                 continue
             until = made.until
--- a/thorndale/standins/day.py
+++ b/thorndale/standins/day.py
@@ -67,7 +67,7 @@
         self.count, self.per_second, self.lag = Counter(), {}, []
         self.processes, self.files, self.left, self.seconds = {}, {}, {}, 0.0
         self.rate_factor, self.only = 1.0, []
-        self.tasks = []
+        self.tasks, self.faults = [], []
 
     # ---- what callers report ----
 
@@ -88,6 +88,7 @@
 
     async def play(self):
         day, loop = self.day, asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: self.faults.append(context))
         limits = Limits(connections=4096)
         times = Times(day.t1_ms * 1000, 8000 * day.t1_ms, 10_000 * day.t1_ms, 64_000 * day.t1_ms)
         taken = set()
@@ -127,6 +128,8 @@
                 await asyncio.gather(*(self.started(name) for name in self.processes))
                 await self._traffic()
                 await self._end(folder)
+                if self.faults:
+                    raise DayError(f"a stand-in failed: {self.faults[0]}")
             finally:
                 for task in self.tasks:
                     task.cancel()
@@ -225,6 +228,7 @@
             for name in fault.who:
                 self.spawn(name)
                 await self.started(name)
+                self.auditor.did(now_us(), "up", name)
         elif kind == "proxy stopped":
             for name in fault.who:
                 self.processes[name].send_signal(signal.SIGSTOP)
--- a/thorndale/standins/poolbook.py
+++ b/thorndale/standins/poolbook.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from thorndale.net.ends import now_us
 from thorndale.sip.dialog import Dialog, via_text
 from thorndale.sip.errors import SipError
 from thorndale.standins.agent import Agent
@@ -15,6 +16,7 @@
         self.listener = ("udp", "127.0.0.1", port)
         self.notice_us, self.chance = notice_us, chance
         self.version, self.list, self.subscribers, self.log = 0, {}, {}, []
+        self.edition = f"{now_us():x}"  # versions count within one run of the book
         self.muddle = False  # repeats and swaps notifications
 
     def start(self):
@@ -30,7 +32,7 @@
         if state == "gone":
             del self.list[name]
         entry = {"name": name, "state": state, "started_ms": started_ms}
-        body = {"book": "1", "version": self.version, "full": False, "servers": [entry]}
+        body = {"book": self.edition, "version": self.version, "full": False, "servers": [entry]}
         for tag in sorted(self.subscribers):
             wait = int(self.notice_us * (0.5 + self.chance()))
             at = max(now + wait, self.subscribers[tag].last_at + 1)
@@ -65,7 +67,7 @@
             self.subscribers.pop(tag, None)
             subscriber.notify(now, None, "terminated;reason=timeout")
             return
-        whole = {"book": "1", "version": self.version, "full": True, "servers": list(self.list.values())}
+        whole = {"book": self.edition, "version": self.version, "full": True, "servers": list(self.list.values())}
         subscriber.notify(now, whole)
 
     def forget_all(self):
--- a/thorndale/standins/script.py
+++ b/thorndale/standins/script.py
@@ -1,8 +1,10 @@
 """A scripted day: its shape, read from JSON5 and checked."""
 
+import os
 from typing import Annotated
 
-from msgspec import Meta, Struct
+import pyjson5
+from msgspec import Meta, Struct, convert
 
 from thorndale.config.load import ConfigError, shaped
 
@@ -64,8 +66,6 @@
 
 def read_day(raw, where):
     """A Day. Raises ConfigError with every fault by its path."""
-    from msgspec import convert
-
     faults = []
     shaped(raw, Day, "", faults)
     if faults:
@@ -92,6 +92,27 @@
     return day
 
 
+def read_file(path):
+    """A Day from a JSON5 file; `from` names another beside it whose values stand where this one says nothing.
+
+    Raises ConfigError.
+    """
+    def raw(name):
+        with open(name, encoding="utf-8") as text:
+            found = pyjson5.decode(text.read())
+        if isinstance(found, dict) and "from" in found:
+            base = raw(os.path.join(os.path.dirname(name), os.path.basename(str(found.pop("from")))))
+            found = {**base, **found}
+        return found
+
+    try:
+        return read_day(raw(path), path)
+    except OSError as fault:
+        raise ConfigError(path, [f"{fault.filename} cannot be read: {fault.strerror}"]) from None
+    except (ValueError, pyjson5.Json5Exception, RecursionError) as fault:
+        raise ConfigError(path, [f"no JSON5 day: {str(fault)[:200]}"]) from None
+
+
 def settings_of(day, number, port, boxes, book_uri, folder):
     """The settings file of one proxy of the day, as a map."""
     groups = list(dict.fromkeys(b.trunk_group for b in day.boxes))
