--- /dev/null
+++ b/tests/call/test_calls.py
@@ -0,0 +1,430 @@
+"""The hard cases of a call through the border proxy, in virtual time."""
+
+import pytest
+from call.rig import BOX1, BOX2, CALLER, SDP, Rig, methods, statuses
+
+from thorndale.sip.transaction import Hop
+
+TCP = Hop("tcp", "127.0.0.1", 40001, 5)
+
+
+def test_a_call_from_invite_to_bye_leaves_nothing():
+    rig = Rig()
+    ok, invite = rig.standing()
+    assert invite.uri == "sip:+22170000123@127.0.0.1:6001" and ok.body == SDP.encode()
+    rig.give(rig.inside("BYE", ok, seq=2, branch="z9hG4bKbye"))
+    assert statuses(rig.take(CALLER)) == [200]
+    bye = rig.only(BOX1, "BYE")
+    rig.answer(bye, 200)
+    rig.run(40_000_000)
+    assert rig.counts() == {}
+    assert any(e == "call ended" and f["how"] == "released" for _, e, f in rig.lines)
+    assert not any("771234567" in repr(line) for line in rig.lines)
+
+
+def test_a_repeated_invite_while_pending_after_its_answer_and_after_its_ack():
+    rig = Rig()
+    rig.give(rig.invite())
+    assert statuses(rig.take(CALLER)) == [100]
+    rig.give(rig.invite())
+    assert statuses(rig.take(CALLER)) == [100]  # the last provisional again, no second call
+    invite = rig.only(BOX1, "INVITE")
+    rig.answer(invite, 200, body=SDP)
+    ok = rig.take(CALLER)[0]
+    rig.give(rig.invite())
+    assert rig.take(CALLER) == []  # RFC 6026: absorbed, the 200 is repeated by its timer
+    rig.run(500_000)
+    assert statuses(rig.take(CALLER)) == [200]
+    rig.give(rig.inside("ACK", ok))
+    rig.run(3_000_000)
+    rig.give(rig.invite())
+    assert rig.take(CALLER) == []
+    assert methods(rig.take(BOX1)) == ["ACK"]
+
+
+def test_cancel_before_any_provisional_is_held_until_one_comes():
+    rig = Rig()
+    rig.give(rig.invite())
+    invite = rig.only(BOX1, "INVITE")
+    rig.take()
+    rig.give(rig.cancel())
+    assert sorted(statuses(rig.take(CALLER))) == [200, 487]
+    rig.run(3_000_000)
+    assert rig.take(BOX1) == []  # neither CANCEL nor a repeat of what nobody wants
+    rig.answer(invite, 100)
+    cancel = rig.only(BOX1, "CANCEL")
+    assert cancel.via.params["branch"] == invite.via.params["branch"] and "tag" not in cancel.to.params
+    rig.answer(cancel, 200)
+    rig.answer(invite, 487)
+    assert methods(rig.take(BOX1)) == ["ACK"]
+    rig.run(40_000_000)
+    assert rig.counts() == {}
+
+
+def test_cancel_that_crosses_a_late_200_gives_ack_and_bye_and_one_answer():
+    rig = Rig()
+    rig.give(rig.invite())
+    invite = rig.only(BOX1, "INVITE")
+    rig.answer(invite, 180)
+    rig.take()
+    rig.give(rig.cancel())
+    assert sorted(statuses(rig.take(CALLER))) == [200, 487]
+    rig.answer(invite, 200, body=SDP)
+    assert methods(rig.take(BOX1)) == ["CANCEL", "ACK", "BYE"]
+    rig.answer(invite, 200, body=SDP)
+    assert methods(rig.take(BOX1)) == ["ACK"]  # repeated: its ACK was lost; no second BYE
+    assert [s for s in statuses(rig.take(CALLER)) if s != 487] == []
+
+
+def test_cancel_after_the_200_changes_nothing():
+    rig = Rig()
+    rig.standing()
+    rig.give(rig.cancel())
+    assert statuses(rig.take(CALLER)) == [200]
+    assert rig.take(BOX1) == [] and rig.border.open_calls() == 1
+
+
+def test_a_200_is_repeated_until_its_ack_and_without_one_the_call_is_released():
+    rig = Rig()
+    rig.give(rig.invite())
+    rig.answer(rig.only(BOX1, "INVITE"), 200, body=SDP)
+    rig.run(31_000_000)
+    answers = rig.take(CALLER)
+    assert set(statuses(answers)) == {100, 200} and 8 <= statuses(answers).count(200) <= 12
+    rig.run(80_000_000)
+    assert rig.counts() == {}
+
+
+def test_no_ack_sends_bye_to_both_sides():
+    rig = Rig()
+    rig.give(rig.invite())
+    rig.answer(rig.only(BOX1, "INVITE"), 200, body=SDP)
+    rig.run(32_100_000)
+    assert "BYE" in methods(rig.take(CALLER)) and "BYE" in methods(rig.take(BOX1))
+
+
+def test_late_offer_waits_for_the_callers_ack():
+    rig = Rig()
+    rig.give(rig.invite(body=""))
+    rig.answer(rig.only(BOX1, "INVITE"), 200, body=SDP)
+    assert rig.take(BOX1) == []
+    ok = [r for r in rig.take(CALLER) if r.status == 200][0]
+    rig.give(rig.inside("ACK", ok, body="v=1\r\n"))
+    ack = rig.only(BOX1, "ACK")
+    assert ack.body == b"v=1\r\n" and ack.cseq == (1, "ACK")
+
+
+def test_two_200s_with_different_tags_the_second_is_released():
+    rig = Rig()
+    rig.give(rig.invite())
+    invite = rig.only(BOX1, "INVITE")
+    rig.answer(invite, 200, tag="one", body=SDP)
+    rig.take(BOX1)
+    rig.answer(invite, 200, tag="two", body=SDP)
+    sent = rig.take(BOX1)
+    assert methods(sent) == ["ACK", "BYE"] and all(r.to_tag == "two" for r in sent)
+    assert statuses(rig.take(CALLER)) == [100, 200]
+
+
+def test_a_box_that_answers_after_the_time_out_is_released_and_the_caller_has_one_answer():
+    rig = Rig()
+    rig.give(rig.invite(extra="Expires: 2\r\n"))
+    invite = rig.only(BOX1, "INVITE")
+    rig.answer(invite, 100)
+    rig.run(2_100_000)
+    finals = [s for s in statuses(rig.take(CALLER)) if s >= 200]
+    assert set(finals) <= {408, 503} and len(set(finals)) == 1
+    assert methods(rig.take(BOX1)) == ["CANCEL"]
+    rig.answer(invite, 200, body=SDP)
+    assert methods(rig.take(BOX1)) == ["ACK", "BYE"]
+    assert 200 not in statuses(rig.take(CALLER))
+
+
+def test_bye_from_both_ends_at_once():
+    rig = Rig()
+    ok, invite = rig.standing()
+    rig.give(rig.inside("BYE", ok, seq=2, branch="z9hG4bKb1"))
+    our = rig.only(BOX1, "BYE")
+    box_bye = (f"BYE sip:127.0.0.1:5060 SIP/2.0\r\nVia: SIP/2.0/UDP 127.0.0.1:6001;branch=z9hG4bKb2\r\n"
+               f"From: {our.get('to')}\r\nTo: {our.get('from')}\r\nCall-ID: {our.call_id}\r\nCSeq: 7 BYE\r\n\r\n")
+    rig.give(box_bye, BOX1)
+    assert statuses(rig.take(BOX1)) == [200]
+    rig.answer(our, 200)
+    rig.run(40_000_000)
+    assert rig.counts() == {}
+
+
+def test_bye_of_the_box_before_the_callers_ack_waits_for_it():
+    rig = Rig()
+    rig.give(rig.invite())
+    invite = rig.only(BOX1, "INVITE")
+    rig.answer(invite, 200, body=SDP)
+    ok = [r for r in rig.take(CALLER) if r.status == 200][0]
+    box_bye = (f"BYE sip:127.0.0.1:5060 SIP/2.0\r\nVia: SIP/2.0/UDP 127.0.0.1:6001;branch=z9hG4bKb2\r\n"
+               f"From: {invite.get('to')};tag=bt\r\nTo: {invite.get('from')}\r\nCall-ID: {invite.call_id}\r\n"
+               f"CSeq: 7 BYE\r\n\r\n")
+    rig.give(box_bye, BOX1)
+    assert "BYE" not in methods(rig.take(CALLER))  # RFC 3261 section 15
+    rig.give(rig.inside("ACK", ok))
+    assert methods(rig.take(CALLER)) == ["BYE"]
+
+
+def test_bye_of_the_caller_in_the_early_dialog_is_a_cancel():
+    rig = Rig()
+    rig.give(rig.invite())
+    rig.answer(rig.only(BOX1, "INVITE"), 180)
+    ringing = [r for r in rig.take(CALLER) if r.status == 180][0]
+    rig.give(rig.inside("BYE", ringing, seq=2))
+    assert sorted(statuses(rig.take(CALLER))) == [200, 487]
+    assert methods(rig.take(BOX1)) == ["CANCEL"]
+
+
+def test_clashing_branches_and_call_ids_are_calls_of_their_own():
+    rig = Rig()
+    rig.give(rig.invite())
+    rig.give(rig.invite(call="c2", tag="other"))  # the branch of another call
+    rig.give(rig.invite(branch="z9hG4bKc3", tag="third"))  # the Call-ID of another call
+    assert rig.border.open_calls() == 3
+    rig.give(rig.invite(branch="z9hG4bKc4"))  # the same request by another way (RFC 3261 section 8.2.2.2)
+    assert 482 in statuses(rig.take(CALLER)) and rig.border.open_calls() == 3
+
+
+def test_a_callers_time_runs_out_while_a_retry_waits():
+    rig = Rig()
+    rig.give(rig.invite(extra="Expires: 1\r\n"))
+    invite = rig.only(BOX1, "INVITE")
+    rig.run(900_000)
+    rig.lost(BOX1, "refused")
+    rig.run(150_000)
+    assert methods(rig.take(BOX2)) in (["INVITE"], [])  # as the drawn wait was
+    rig.run(500_000)
+    finals = [s for s in statuses(rig.take(CALLER)) if s >= 200]
+    assert len(set(finals)) == 1 and finals[0] in (408, 503)
+    assert invite.method == "INVITE"
+
+
+def test_after_a_reset_the_release_is_awaited():
+    rig = Rig()
+    rig.give(rig.invite(number="+22133000123"))  # first choice: box2, on TCP
+    invite = rig.only(BOX2, "INVITE")
+    rig.answer(invite, 100, hop=BOX2)
+    rig.lost(BOX2)
+    rig.run(499_000)
+    assert rig.take(BOX1) == []
+    rig.run(100_000)
+    assert methods(rig.take(BOX1)) == ["INVITE"]
+
+
+def test_drain_told_with_a_retry_already_granted():
+    rig = Rig('book: {uri: "sip:book@127.0.0.1:7100"}')
+    rig.give(rig.invite(number="+22133000123"))
+    invite = rig.only(BOX2, "INVITE")
+    rig.answer(invite, 100, hop=BOX2)
+    rig.lost(BOX2)
+    subscribe = [r for r in rig.take() if r.method == "SUBSCRIBE"][0]
+    notify(rig, subscribe, 1, True, [("box1", "draining"), ("box2", "serving")])
+    rig.run(3_000_000)
+    assert "INVITE" not in methods(rig.take(BOX1))
+
+
+def notify(rig, subscribe, version, full, servers, book="b", seq=None):
+    import json
+    hop = Hop("udp", "127.0.0.1", 7100)
+    entries = [{"name": n, "state": s, "started_ms": 0} for n, s in servers]
+    body = json.dumps({"book": book, "version": version, "full": full, "servers": entries})
+    rig.give(f"NOTIFY sip:127.0.0.1:5060 SIP/2.0\r\nVia: SIP/2.0/UDP 127.0.0.1:7100;branch=z9hG4bKn{version}{book}{seq}\r\n"
+             f"From: <sip:book@127.0.0.1:7100>;tag=bk\r\nTo: {subscribe.get('from')}\r\nCall-ID: {subscribe.call_id}\r\n"
+             f"CSeq: {seq or version} NOTIFY\r\nEvent: pool-book\r\nSubscription-State: active\r\n"
+             f"Content-Length: {len(body)}\r\n\r\n{body}", hop)
+    return rig
+
+
+def test_timers_that_fall_due_after_the_process_stood_still():
+    rig = Rig()
+    rig.give(rig.invite(extra="Expires: 3\r\n"))
+    rig.answer(rig.only(BOX1, "INVITE"), 100)
+    rig.take()
+    rig.stand_still(50_000_000)
+    rig.run(1_000_000)
+    finals = [s for s in statuses(rig.take(CALLER)) if s >= 200]
+    assert len(set(finals)) == 1 and finals[0] in (408, 503)
+    assert set(methods(rig.take(BOX1))) == {"CANCEL"}
+    rig.run(80_000_000)
+    assert rig.counts() == {}
+
+
+def test_an_answer_larger_than_a_datagram_is_not_sent_by_udp():
+    rig = Rig()
+    rig.give(rig.invite())
+    rig.answer(rig.only(BOX1, "INVITE"), 200, body="x" * 60_500)
+    assert 200 not in statuses(rig.take(CALLER))
+    assert rig.border.count["too large for a datagram"] == 1
+
+
+def test_a_box_that_dies_cuts_its_standing_calls():
+    rig = Rig()
+    rig.give(rig.invite(number="+22133000123"))
+    invite = rig.only(BOX2, "INVITE")
+    rig.answer(invite, 200, hop=BOX2, body=SDP)
+    ok = [r for r in rig.take(CALLER) if r.status == 200][0]
+    rig.give(rig.inside("ACK", ok))
+    rig.take()
+    rig.lost(BOX2)
+    bye = rig.only(CALLER, "BYE")
+    assert "cause=41" in bye.get("reason")
+
+
+def test_a_caller_whose_connection_is_lost_before_the_answer_has_left():
+    rig = Rig()
+    rig.give(rig.invite(hop=TCP), TCP)
+    rig.answer(rig.only(BOX1, "INVITE"), 180)
+    rig.lost(TCP)
+    assert methods(rig.take(BOX1)) == ["CANCEL"] and rig.border.open_calls() == 0
+
+
+def test_a_standing_call_outlives_its_callers_connection():
+    rig = Rig()
+    ok, _ = rig.standing(hop=TCP)
+    rig.lost(TCP)
+    assert rig.border.open_calls() == 1
+    rig.give(rig.inside("BYE", ok, seq=2, branch="z9hG4bKnew"), CALLER)
+    assert 200 in statuses(rig.take(CALLER))
+
+
+def test_ack_of_a_refusal_over_tcp_ends_the_transaction():
+    rig = Rig()
+    rig.give(rig.invite(number="+33100", hop=TCP), TCP)
+    refused = rig.take(TCP)[-1]
+    assert refused.status == 404
+    rig.give(rig.invite(number="+33100", hop=TCP, method="ACK", body=""), TCP)
+    rig.run(1)
+    assert rig.counts() == {}
+
+
+@pytest.mark.parametrize("status, extra, seen", [
+    (486, "", 486), (600, "", 600), (404, "", 404),
+    (503, "Reason: Q.850;cause=34", 180), (503, "Retry-After: 1", 180), (500, "", 180), (408, "", 180),
+])
+def test_refusals_of_the_box(status, extra, seen):
+    """About the number: final, as it came. About the box: another seizure, at the other box."""
+    rig = Rig()
+    rig.give(rig.invite())
+    rig.answer(rig.only(BOX1, "INVITE"), status, extra=extra)
+    rig.run(3_000_000)
+    if seen == 180:
+        assert methods(rig.take(BOX2)) == ["INVITE"]
+    else:
+        assert seen in statuses(rig.take(CALLER)) and rig.take(BOX2) == []
+
+
+def test_an_unreadable_answer_is_a_fault_of_the_box():
+    rig = Rig()
+    rig.give(rig.invite())
+    invite = rig.only(BOX1, "INVITE")
+    rig.answer(invite, 100)
+    rig.give(f"SIP/2.0 200 OK\r\nVia: {invite.get('via')}\r\nCSeq: 1 INVITE\r\nFrom: <\r\n\r\n", BOX1)
+    rig.run(3_000_000)
+    assert set(methods(rig.take(BOX1))) == {"CANCEL"} and methods(rig.take(BOX2)) == ["INVITE"]
+
+
+def test_reinvite_passes_both_ways_with_its_ack_and_glare_is_refused():
+    rig = Rig()
+    ok, _ = rig.standing()
+    rig.give(rig.inside("INVITE", ok, seq=2, branch="z9hG4bKre", body="v=2\r\n"))
+    again = rig.only(BOX1, "INVITE")
+    assert again.body == b"v=2\r\n" and again.to_tag == "bt"
+    glare = (f"INVITE sip:127.0.0.1:5060 SIP/2.0\r\nVia: SIP/2.0/UDP 127.0.0.1:6001;branch=z9hG4bKgl\r\nFrom: "
+             f"{again.get('to')}\r\nTo: {again.get('from')}\r\nCall-ID: {again.call_id}\r\nCSeq: 9 INVITE\r\n\r\n")
+    rig.give(glare, BOX1)
+    assert 491 in statuses(rig.take(BOX1))
+    rig.answer(again, 200, body="v=3\r\n")
+    ok2 = [r for r in rig.take(CALLER) if r.status == 200][0]
+    assert ok2.body == b"v=3\r\n" and rig.take(BOX1) == []
+    rig.give(rig.inside("ACK", ok2, seq=2, body="v=4\r\n"))
+    assert rig.only(BOX1, "ACK").body == b"v=4\r\n"
+    rig.give(rig.inside("INFO", ok, seq=3, branch="z9hG4bKinfo", body="dtmf"))
+    info = rig.only(BOX1, "INFO")
+    rig.answer(info, 200)
+    assert statuses(rig.take(CALLER)) == [200]
+
+
+def test_requests_out_of_order_and_of_no_dialog():
+    rig = Rig()
+    ok, _ = rig.standing()
+    rig.give(rig.inside("INFO", ok, seq=1, branch="z9hG4bKold"))
+    assert statuses(rig.take(CALLER)) == [500]
+    rig.give(rig.inside("BYE", ok, seq=9, branch="z9hG4bKx").replace("tag=ct", "tag=forged"))
+    assert statuses(rig.take(CALLER)) == [481] and rig.border.open_calls() == 1
+
+
+@pytest.mark.parametrize("text, status", [
+    ("Require: 100rel\r\n", 420), ("Proxy-Require: sec-agree\r\n", 420),
+])
+def test_extensions_that_cannot_pass(text, status):
+    rig = Rig()
+    rig.give(rig.invite(extra=text))
+    refused = rig.take(CALLER)[-1]
+    assert refused.status == status and refused.get("unsupported")
+
+
+def test_hops_scheme_contact_and_number():
+    rig = Rig()
+    rig.give(rig.invite().replace("Max-Forwards: 70", "Max-Forwards: 0"))
+    rig.give(rig.invite(branch="z9hG4bK2", call="2").replace("INVITE sip:", "INVITE mailto:"))
+    rig.give(rig.invite(branch="z9hG4bK3", call="3").replace("Contact:", "X:"))
+    rig.give(rig.invite(branch="z9hG4bK4", call="4", number="+33"))
+    assert statuses(rig.take(CALLER)) == [483, 416, 400, 404]
+    assert rig.border.open_calls() == 0 and len(rig.border.door) == 0
+
+
+def test_refused_early_says_the_same_each_time_and_the_lag_passes():
+    rig = Rig()
+    rig.border.late(rig.now, 400_000)
+    rig.give(rig.invite())
+    rig.give(rig.invite())
+    first, again = rig.take(CALLER)
+    assert first.status == again.status == 503 and first.encode() == again.encode() and first.get("retry-after")
+    rig.run(2_000_000)
+    rig.give(rig.invite())
+    assert rig.take(CALLER)[0].encode() == first.encode()  # a late copy of the same
+    rig.give(rig.invite(branch="z9hG4bKnew", call="new", tag="n"))
+    assert statuses(rig.take(CALLER)) == [100]
+    assert len(rig.border.layer.servers) == 1
+
+
+def test_stopping_takes_no_calls_and_releases_the_rest():
+    rig = Rig()
+    ok, _ = rig.standing()
+    rig.border.stop(rig.now)
+    rig.give(rig.invite(branch="z9hG4bKnew", call="new", tag="n"))
+    assert statuses(rig.take(CALLER)) == [503]
+    rig.border.close_calls(rig.now)
+    rig.border.flush(rig.now)
+    assert methods(rig.take(CALLER)) == ["BYE"] and methods(rig.take(BOX1)) == ["BYE"]
+
+
+def test_options_and_unknown_methods():
+    rig = Rig()
+    for n, (method, status) in enumerate([("OPTIONS", 200), ("REGISTER", 405), ("FETCH", 501), ("BYE", 481)]):
+        rig.give(rig.invite(method=method, body="", branch=f"z9hG4bKm{n}", call=f"m{n}"))
+        assert statuses(rig.take(CALLER)) == [status]
+
+
+def test_bound_on_transactions():
+    rig = Rig("limits: {transactions: 3}")
+    for n in range(5):
+        rig.give(rig.invite(branch=f"z9hG4bKm{n}", call=f"m{n}", tag=f"t{n}"))
+    assert 503 in statuses(rig.take(CALLER)) and len(rig.border.layer) <= 3
+
+
+def test_a_reject_tells_when_to_come_back():
+    rig = Rig()
+    rig.give(rig.invite())
+    for _ in range(3):  # the design's three seizures, each met by a full processor
+        for box in (BOX1, BOX2):
+            for invite in rig.take(box):
+                if invite.method == "INVITE":
+                    rig.answer(invite, 503, extra="Reason: Q.850;cause=42", hop=box)
+        rig.run(1_500_000)
+    final = [r for r in rig.take(CALLER) if r.status >= 200][0]
+    assert final.status == 503 and int(final.get("retry-after")) in (1, 2)
--- /dev/null
+++ b/tests/config/test_load.py
@@ -0,0 +1,115 @@
+"""Settings: every fault by its path, all at once; the command line's exit codes."""
+
+import glob
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+from net.test_net import port
+
+from thorndale.call.door import module_settings
+from thorndale.config.load import ConfigError, load, parse
+
+GOOD = open("examples/proxy.json5", encoding="utf-8").read()
+
+
+def faults(text):
+    with pytest.raises(ConfigError) as caught:
+        parse(text)
+    return caught.value.faults
+
+
+def test_the_example_and_the_modules_map():
+    known = module_settings(load("examples/proxy.json5"))
+    assert known["type_target_us"] == [1_200_000, 800_000] and known["type_pools"] == [[0, 1, 2], [0, 1, 2]]
+    assert known["release_us"] == 500_000 and known["client_quota"] == [] and not known["list_asked"]
+
+
+def test_every_fault_of_the_shape_at_once():
+    text = """{listen: [], trunk_group: [], servers: [{name: "a b", uri: 3, x: 1}], call_types: {},
+               sort: [{call_type: "t"}], limits: {open_calls: 0}, comeback: {told: "yes"}, book: {expires_s: "x"}}"""
+    found = faults(text)
+    for path in ("listen:", "trunk_group:", "trunk_groups:", "servers[0].name:", "servers[0].uri:", "servers[0].x:",
+                 "servers[0].trunk_group:", "call_types:", "limits.open_calls:", "comeback.told:", "book.uri:",
+                 "book.expires_s:"):
+        assert any(f.startswith(path) for f in found), path
+    assert "'trunk_groups' is meant?" in "".join(found)
+
+
+@pytest.mark.parametrize("old, new, path", [
+    ('trunk_group: "thies" }', 'trunk_group: "thiez" }', "servers[2].trunk_group: 'thiez' is no trunk group; 'thies' is"),
+    ('name: "box2"', 'name: "box1"', "servers[1].name: 'box1' stands at servers[0] already"),
+    ("127.0.0.1:6003", "127.0.0.1:6001", "servers[2].uri: 'sip:127.0.0.1:6001' is that of servers[0] already"),
+    ("sip:127.0.0.1:6003", "sip:box3.example", "servers[2].uri:"),
+    ("sip:127.0.0.1:6003", "sip:[::1]:6003", "servers[2].uri: no listener for udp over IPv6"),
+    ("setup_target_ms: 1200", "setup_target_ms: 12000", "call_types[0].setup_target_ms:"),
+    ('"tcp:127.0.0.1:5060"', '"udp:127.0.0.1:5060"', "listen[1]:"),
+    ('"tcp:127.0.0.1:5060"', '"tcp:localhost:5060"', "listen[1]:"),
+    ('"tcp:127.0.0.1:5060"', '"tcp:127.0.0.1"', "listen[1]: the port is missing"),
+    ('header: "X-Station"', 'header: "X Station"', "sort[1].header:"),
+    ('header: "X-Station", ', "", "sort[1].value: stands without a header"),
+    ('[{ name: "coaches" }]', '[{ name: "coaches" }, { name: "b", quota_per_s: 3 }]', "clients:"),
+])
+def test_faults_between_fields(old, new, path):
+    assert old in GOOD
+    assert any(f.startswith(path) for f in faults(GOOD.replace(old, new, 1))), faults(GOOD.replace(old, new, 1))
+
+
+def test_files_that_are_none(tmp_path):
+    for name, data in (("cut", GOOD[:300].encode()), ("latin", b"{name: '\xe9'}"), ("empty", b"")):
+        (tmp_path / name).write_bytes(data)
+        with pytest.raises(ConfigError):
+            load(str(tmp_path / name))
+    with pytest.raises(ConfigError):
+        load(str(tmp_path / "missing"))
+
+
+def thorndale(*args):
+    return subprocess.run([sys.executable, "-m", "thorndale", *args], capture_output=True, text=True, timeout=30)
+
+
+def test_exit_codes(tmp_path):
+    assert thorndale("check", "examples/proxy.json5").returncode == 0
+    (tmp_path / "bad.json5").write_text("{listen: 5}")
+    for command in (("check",), ("run",), ("day",)):
+        done = thorndale(*command, str(tmp_path / "bad.json5"))
+        assert done.returncode == 2 and "bad.json5: listen" in done.stderr and "Traceback" not in done.stderr
+    done = thorndale("day", str(tmp_path / "none.json5"))
+    assert done.returncode == 2 and "cannot be read" in done.stderr
+
+
+def test_a_port_in_use_and_a_clean_end(tmp_path):
+    number = port()
+    path, log = tmp_path / "p.json5", tmp_path / "p.log"
+    path.write_text(GOOD.replace("5060", str(number)).replace('name: "proxy1",', f'name: "p", log: {{file: "{log}"}},'))
+    first = subprocess.Popen([sys.executable, "-m", "thorndale", "run", str(path)])
+    try:
+        end = time.monotonic() + 15
+        while not (log.exists() and '"started"' in log.read_text()) and time.monotonic() < end:
+            time.sleep(0.02)
+        done = thorndale("run", str(path))
+        assert done.returncode == 1 and f"udp:127.0.0.1:{number}" in done.stderr and "Traceback" not in done.stderr
+        first.send_signal(signal.SIGTERM)
+        assert first.wait(15) == 0 and '"descriptors": 0' in log.read_text().splitlines()[-1]
+    finally:
+        first.kill()
+        first.wait()
+
+
+def test_every_day_is_sound():
+    from thorndale.standins.script import read_file
+    for name in sorted(glob.glob("examples/days/*.json5")):
+        if os.path.basename(name) != "common.json5":
+            assert read_file(name).seconds > 0
+
+
+def test_days_that_are_wrong(tmp_path):
+    from thorndale.standins.script import read_file
+    (tmp_path / "day.json5").write_text(open("examples/days/short.json5").read().replace('"dies"', '"dyes"').replace(
+        '"box3"], seconds', '"box9"], seconds'))
+    with pytest.raises(ConfigError) as caught:
+        read_file(str(tmp_path / "day.json5"))
+    assert [f.partition(":")[0] for f in caught.value.faults] == ["faults[0].kind", "faults[1].who"]
--- /dev/null
+++ b/tests/net/test_net.py
@@ -0,0 +1,204 @@
+"""Sockets on loopback: framing over segments, half-open and slow peers, unreachable ports, IPv4 and IPv6."""
+
+import asyncio
+import socket
+
+import msgspec
+import pytest
+import uvloop
+
+from thorndale.config.settings import Limits
+from thorndale.net.ends import Ends, now_us
+from thorndale.sip.transaction import Hop
+from thorndale.timers import Timers
+
+MESSAGE = b"OPTIONS sip:x SIP/2.0\r\nl: 3\r\n\r\nabc"
+
+
+class Core:
+    """Notes what it is told."""
+
+    def __init__(self):
+        self.seen, self.failed, self.batches, self.lags, self.timers = [], [], 0, [], Timers()
+
+    def receive(self, now, data, hop, stream=False):
+        self.seen.append((data, hop))
+
+    def lost(self, now, hop, kind):
+        self.failed.append((hop, kind))
+
+    def late(self, now, us):
+        self.lags.append(us)
+
+    def run(self, now, most=1 << 30):
+        self.timers.run(now, most)
+
+    def flush(self, now):
+        self.batches += 1
+
+
+def port():
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return s.getsockname()[1]
+
+
+def on_loop(test, host="127.0.0.1", **limits):
+    """Runs `test(ends, core, port)` on uvloop with a UDP and a TCP listener; nothing may be left of it."""
+    async def main():
+        loop, core, number = asyncio.get_running_loop(), Core(), port()
+        ends = Ends(loop, msgspec.structs.replace(Limits(), **limits), core)
+        ends.open([("udp", host, number), ("tcp", host, number)])
+        try:
+            await test(ends, core, number)
+        finally:
+            await ends.close()
+        assert len(asyncio.all_tasks()) == 1
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
+
+
+async def until(told, seconds=5):
+    end = asyncio.get_running_loop().time() + seconds
+    while not told():
+        assert asyncio.get_running_loop().time() < end, "it did not come to pass"
+        await asyncio.sleep(0.005)
+
+
+@pytest.mark.parametrize("host", ["127.0.0.1", "::1"])
+def test_both_transports_and_families(host):
+    async def test(ends, core, number):
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        with socket.socket(family, socket.SOCK_DGRAM) as peer:
+            peer.sendto(MESSAGE, (host, number))
+            await until(lambda: core.seen)
+            data, hop = core.seen[0]
+            assert data == MESSAGE and hop[:2] == ("udp", host)
+            ends.send(hop, b"back")
+            await asyncio.sleep(0.05)
+            assert peer.recv(100) == b"back"
+        ends.send(Hop("tcp", host, number, 0), MESSAGE)  # to itself: opened from here
+        await until(lambda: len(core.seen) == 2)
+        ends.send(core.seen[1][1], MESSAGE)  # back by the connection that it came by
+        await until(lambda: len(core.seen) == 3)
+        assert core.seen[2][1] == Hop("tcp", host, number, 0) and core.batches
+    on_loop(test, host)
+
+
+def test_segments_keepalives_and_an_end_in_the_middle():
+    async def test(ends, core, number):
+        reader, writer = await asyncio.open_connection("127.0.0.1", number)
+        writer.write(MESSAGE + MESSAGE)
+        await until(lambda: len(core.seen) == 2)
+        for n in range(0, len(MESSAGE), 2):
+            writer.write(MESSAGE[n:n + 2])
+            await asyncio.sleep(0.001)
+        writer.write(b"\r\n\r\n")
+        await until(lambda: len(core.seen) == 3)
+        assert await reader.readexactly(2) == b"\r\n"
+        writer.write(MESSAGE[:10])
+        await writer.drain()
+        writer.close()
+        await until(lambda: core.failed)
+        assert core.failed == [(core.seen[0][1], "lost")] and len(core.seen) == 3
+        await until(lambda: not ends.tcp.tasks)
+    on_loop(test)
+
+
+def test_a_stream_that_cannot_be_framed_is_closed():
+    async def test(ends, core, number):
+        reader, writer = await asyncio.open_connection("127.0.0.1", number)
+        writer.write(b"OPTIONS sip:x SIP/2.0\r\nContent-Length: 99999999\r\n\r\n")
+        assert await asyncio.wait_for(reader.read(), 5) == b""
+        writer.close()
+        await until(lambda: core.failed)
+    on_loop(test)
+
+
+def test_a_half_open_peer_is_cut():
+    async def test(ends, core, number):
+        reader, writer = await asyncio.open_connection("127.0.0.1", number)
+        writer.write(MESSAGE[:12])
+        assert await asyncio.wait_for(reader.read(), 5) == b""
+        writer.close()
+        assert ends.tcp.count["cut, partial"] == 1
+    on_loop(test, partial_ms=300)
+
+
+def test_a_peer_that_does_not_read_is_held_back_and_then_cut():
+    async def test(ends, core, number):
+        peer = socket.create_connection(("127.0.0.1", number))
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        peer.send(MESSAGE)
+        await until(lambda: core.seen)
+        hop = core.seen[0][1]
+        connection = ends.tcp.by_hop[hop]
+        while connection.unsent <= 100_000 and not connection.closed:
+            ends.send(hop, b"x" * 20_000)
+            await asyncio.sleep(0)
+        assert not connection.drained.is_set()  # nothing more is read from it
+        await asyncio.sleep(0.02)
+        read = len(core.seen)
+        peer.send(MESSAGE)
+        await asyncio.sleep(0.05)
+        assert len(core.seen) <= read + 1
+        while hop in ends.tcp.by_hop:
+            ends.send(hop, b"x" * 20_000)
+            await asyncio.sleep(0)
+        peer.close()
+        assert ends.tcp.count["cut, not reading"] == 1 and (hop, "lost") in core.failed
+    on_loop(test, unsent_bytes=200_000)
+
+
+def test_refused_and_silent_addresses():
+    async def test(ends, core, number):
+        closed = port()
+        ends.send(Hop("tcp", "127.0.0.1", closed, 0), MESSAGE)
+        ends.send(Hop("udp", "127.0.0.1", closed, 0), MESSAGE)
+        await until(lambda: len(core.failed) == 2)
+        assert {(hop[0], hop[2], kind) for hop, kind in core.failed} == {("tcp", closed, "refused"),
+                                                                        ("udp", closed, "refused")}
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:  # the socket still reads after the error
+            peer.sendto(MESSAGE, ("127.0.0.1", number))
+            await until(lambda: core.seen)
+        ends.send(Hop("tcp", "127.0.0.1", 1, 77), MESSAGE)  # a connection that is gone
+        await until(lambda: len(core.failed) == 3)
+    on_loop(test)
+
+
+def test_the_bound_on_connections():
+    async def test(ends, core, number):
+        peers = [await asyncio.open_connection("127.0.0.1", number) for _ in range(4)]
+        await until(lambda: ends.tcp.count["over the bound"] == 2)
+        assert len(ends.tcp.by_hop) == 2
+        for _, writer in peers:
+            writer.close()
+    on_loop(test, connections=2)
+
+
+def test_a_late_timer_reads_the_sockets_first():
+    async def test(ends, core, number):
+        order = []
+
+        class Owner:
+            def due(self, now, name):
+                order.append(len(core.seen))
+        core.timers.set(now_us() + 20_000, Owner(), "x")
+        ends.arm()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+            peer.sendto(MESSAGE, ("127.0.0.1", number))
+            import time
+            time.sleep(0.15)  # the whole process stands still
+        await until(lambda: order)
+        assert order == [1]
+    on_loop(test)
+
+
+def test_a_port_in_use_is_named():
+    async def test(ends, core, number):
+        other = Ends(asyncio.get_running_loop(), Limits(), Core())
+        with pytest.raises(OSError) as caught:
+            other.open([("tcp", "127.0.0.1", number)])
+        assert caught.value.filename == f"tcp:127.0.0.1:{number}"
+        await other.close()
+    on_loop(test)
--- /dev/null
+++ b/tests/standins/broken.py
@@ -0,0 +1,58 @@
+"""Border proxies with one thing wrong each: `python broken.py FAULT run FILE`. The auditor must name the rule."""
+
+import sys
+
+from thorndale.call import border, call, door
+from thorndale.call.book import Book, Entry
+from thorndale.call.call import Call
+from thorndale.call.seizure import Seizure
+from thorndale.cli.main import app
+
+
+def second_seizure():
+    """Every eighth call is seized at a second server at once."""
+    seize = Call.seize
+
+    def both(self, now, server, timeout_us):
+        seize(self, now, server, timeout_us)
+        if self.index % 8 == 0:
+            other = Seizure(self, 7, (server + 1) % len(self.border.server_hops))
+            other.send(now, timeout_us)
+    Call.seize = both
+
+
+def no_answer():
+    """A call that is given up or rejected is never told so."""
+    def silent(self, now, status, extra, how, reason=""):
+        self.owed = False
+        self.border.ended(self, how, status)
+        self._over()
+    Call._answer = silent
+
+
+def after_the_drain():
+    """The book's 'draining' is taken for 'serving'."""
+    entries = Book._entries
+    Book._entries = lambda self, servers: entries(self, [
+        Entry(e.name, "serving" if e.state == "draining" else e.state, e.started_ms) for e in servers])
+
+
+def no_release_wait():
+    """The module is told that nothing need be awaited."""
+    known = door.module_settings
+    door.module_settings = lambda settings: {**known(settings), "release_us": 0}
+
+
+def cold_pushed():
+    """No server is ever taken for cold, failed, slow or full."""
+    from thorndale.policy import Proxy
+    Proxy._cold = lambda self, s: False
+    Proxy._has_room = lambda self, s: True
+    Proxy._open = lambda self, s: 1.0
+
+
+if __name__ == "__main__":
+    assert border and call
+    globals()[sys.argv[1]]()
+    sys.argv = ["thorndale", *sys.argv[2:]]
+    app()
--- a/thorndale/net/tcp.py
+++ b/thorndale/net/tcp.py
@@ -170,6 +170,7 @@
 
     def drop(self, connection):
         """Ends a connection; whoever used it is told."""
+        connection.closed = True
         task = self.tasks.get(connection)
         if task is not None:
             task.cancel()
--- a/thorndale/sip/message.py
+++ b/thorndale/sip/message.py
@@ -160,14 +160,14 @@
     line and of the header fields' outside is checked, and the body cut to its Content-Length (RFC 3261 section
     18.3); what is inside the values is checked by `check`.
     """
+    if data[:2] == b"\r\n":
+        data = bytes(data).lstrip(b"\r\n")  # RFC 3261 section 7.5: empty lines before the start line
     end = data.find(b"\r\n\r\n")
     if end < 0:
         raise SipError("no empty line after the header fields", "message")
     if end > MAX_HEAD:
         raise SipError(f"more than {MAX_HEAD} bytes of header fields", "message", 513)
     head = bytes(data[:end]).decode("utf-8", "surrogateescape")
-    if head.startswith("\r\n"):
-        head = head.lstrip("\r\n")  # RFC 3261 section 7.5: empty lines before the start line
     if "\r\n " in head or "\r\n\t" in head:
         head = head.replace("\r\n\t", "\r\n ")
         first, *rest = head.split("\r\n ")
--- a/thorndale/standins/audit.py
+++ b/thorndale/standins/audit.py
@@ -51,7 +51,7 @@
         self.told = {}  # (proxy address, box): when told draining or gone
         self.notified = {}  # branch of a NOTIFY: (proxy address, entries)
         self.cold, self.arrived = {}, {}  # box: when it started cold; times of INVITEs since
-        self.messages = 0
+        self.messages = self.excused = 0  # excused: calls without an answer that a killed proxy held or never took
         self.last_try = {}  # token: the latest Try
 
     def proxy(self, name, host, port):
@@ -233,6 +233,7 @@
         for made in self.tries.values():
             killed = any(made.at <= (up or now) and t <= made.until for t, up in self.dead.get(made.proxy, ()))
             if killed and (not made.finals or made.final_at > made.until):
+                self.excused += 1
                 continue
             until = made.until
             for stopped, went_on in self.halts.get(made.proxy, ()):
