--- a/thorndale/standins/day.py
+++ b/thorndale/standins/day.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -24,6 +25,7 @@
 from thorndale.standins.script import settings_of
 
 START_S = 15  # a proxy that has not started by then will not
+PORTS_FROM, PORTS, PORTS_EACH = 20_000, 12_000, 64
 AGE_STEPS = 20  # steps in which an ageing box gets slower
 
 
@@ -43,17 +45,19 @@
 
 
 def free_port(taken):
-    """A loopback port free for UDP and TCP at this moment."""
+    """A loopback port free for UDP and TCP. It lies below the range from which systems give ports to connections,
+    one of which could take it before its owner does; days played side by side begin at different places."""
+    port = PORTS_FROM + os.getpid() * PORTS_EACH % PORTS
     while True:
+        port = PORTS_FROM + (port + 1 - PORTS_FROM) % PORTS
+        if port in taken:
+            continue
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp, \
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
-            with contextlib.suppress(OSError):
-                udp.bind(("127.0.0.1", port))
-                if port not in taken:
-                    taken.add(port)
-                    return port
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp, contextlib.suppress(OSError):
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
+            taken.add(port)
+            return port
 
 
 class Player:
