--- a/thorndale/sip/headers.py
+++ b/thorndale/sip/headers.py
@@ -73,10 +73,7 @@
 def parse_params(text):
     """`;a=b;c` to a map of lower-case names to values ('' for a parameter without one); the first counts."""
     found = {}
-    if '"' in text or "<" in text:
-        parts = split_list(text, ";")
-    else:
-        parts = text.split(";")
+    parts = split_list(text, ";") if '"' in text or "<" in text else text.split(";")
     if len(parts) > MAX_PARAMS:
         raise SipError(f"more than {MAX_PARAMS} parameters")
     for part in parts:
--- a/thorndale/sip/message.py
+++ b/thorndale/sip/message.py
@@ -251,7 +251,7 @@
         if key in ONCE and key in found:
             raise SipError("stands more than once", key)
         found.add(key)
-    if not NEEDED <= found:
+    if not found.issuperset(NEEDED):
         raise SipError("is missing", sorted(NEEDED - found)[0])
     if not message.call_id or " " in message.call_id:
         raise SipError("is no word", "Call-ID")
