--- a/tests/call/test_calls.py
+++ b/tests/call/test_calls.py
@@ -428,3 +428,9 @@
         rig.run(1_500_000)
     final = [r for r in rig.take(CALLER) if r.status >= 200][0]
     assert final.status == 503 and int(final.get("retry-after")) in (1, 2)
+
+
+def test_bad_input_puts_no_number_into_the_log():
+    rig = Rig()
+    rig.give(rig.invite().replace("Contact:", "+221771234567 Contact"))
+    assert [f for _, e, f in rig.lines if e == "unreadable message"] and "1771234" not in repr(rig.lines)
--- a/thorndale/call/border.py
+++ b/thorndale/call/border.py
@@ -17,7 +17,7 @@
 from thorndale.call.door import Door
 from thorndale.call.passing import hops_left, refused_extensions
 from thorndale.call.press import Press
-from thorndale.call.sort import Sorter, masked
+from thorndale.call.sort import Sorter, hidden, masked
 from thorndale.sip import message as m
 from thorndale.sip.dialog import hop_of, via_text
 from thorndale.sip.errors import SipError
@@ -178,7 +178,7 @@
         """Bad input: counted, said at a limited rate, answered where RFC 3261 section 8.2 allows it."""
         self.count["unreadable"] += 1
         peer = host_port(hop.host, hop.port)
-        self.say("warning", "unreadable message", peer=peer, reason=str(fault)[:200])
+        self.say("warning", "unreadable message", peer=peer, reason=hidden(str(fault))[:200])
         if message is None:
             return
         try:
--- a/thorndale/call/seizure.py
+++ b/thorndale/call/seizure.py
@@ -5,6 +5,7 @@
 through it to the module.
 """
 
+from thorndale.call.sort import hidden
 from thorndale.sip.dialog import Dialog, via_text
 from thorndale.sip.errors import SipError
 from thorndale.sip.message import Message
@@ -130,7 +131,7 @@
                 return
             dialog = Dialog.of_response(self.tx.message, message, self.tx.hop)
         except SipError as fault:
-            self.border.say("warning", "200 that cannot be used", call=self.call.id, reason=str(fault))
+            self.border.say("warning", "200 that cannot be used", call=self.call.id, reason=hidden(str(fault)))
             self.unreadable(now)
             return
         self.acks[tag] = None
--- a/thorndale/call/sort.py
+++ b/thorndale/call/sort.py
@@ -4,6 +4,7 @@
 named in the Request-URI (RFC 4904) goes before the row's, where it is one of ours.
 """
 
+import re
 from typing import NamedTuple
 
 from xxhash import xxh64_intdigest
@@ -11,6 +12,8 @@
 from thorndale.sip.errors import SipError
 from thorndale.sip.uri import digits, parse_uri
 
+NUMBER = re.compile(r"\d{4,}(?=\d\d)")  # what of a number a log leaves out
+
 
 class Sorted(NamedTuple):
     """Indices of call type, first-choice trunk group and client; `key` is the same for the same caller and called
@@ -69,3 +72,8 @@
 def masked(number):
     """A number for a log: its last two digits."""
     return f"..{number[-2:]}" if len(number) > 4 else ".."
+
+
+def hidden(text):
+    """`text` for a log, each number in it down to its last two digits: bad input may quote a caller's."""
+    return NUMBER.sub("..", text)
--- a/thorndale/config/load.py
+++ b/thorndale/config/load.py
@@ -8,6 +8,7 @@
 import pyjson5
 
 from thorndale.config.settings import Settings
+from thorndale.names import nearest
 from thorndale.sip.dialog import hop_of
 from thorndale.sip.errors import SipError
 from thorndale.sip.headers import is_token, parse_host_port
@@ -70,7 +71,7 @@
         known = {f.encode_name: f for f in msgspec.structs.fields(kind)}
         for key in raw:
             if key not in known:
-                near = _nearest(key, known)
+                near = nearest(key, known)
                 faults.append(f"{_at(path, key)}: unknown name" + (f"; '{near}' is meant?" if near else ""))
         for name, field in known.items():
             if name in raw:
@@ -109,19 +110,6 @@
     return text if len(text) <= 40 else f"{text[:37]}..."
 
 
-def _nearest(name, known):
-    def far(a, b):
-        row = list(range(len(b) + 1))
-        for i, x in enumerate(a, 1):
-            last, row[0] = row[0], i
-            for j, y in enumerate(b, 1):
-                last, row[j] = row[j], min(row[j] + 1, row[j - 1] + 1, last + (x != y))
-        return row[-1]
-
-    best = min(known, key=lambda k: (far(name, k), k), default="")
-    return best if best and far(name, best) <= max(2, len(name) // 3) else ""
-
-
 def listener(text):
     """transport, host, port of `udp:ADDRESS:PORT`. Raises ValueError."""
     transport, colon, rest = text.partition(":")
@@ -155,7 +143,7 @@
 
     def named(path, name, among, what):
         if name not in among:
-            near = _nearest(name, sorted(among))
+            near = nearest(name, sorted(among))
             faults.append(f"{path}: {name!r} is no {what}" + (f"; '{near}' is meant?" if near else ""))
 
     ways = set()
