Rules sort the daemon's calls in place of the prefix table; SIGHUP reads them anew

Need: the matching expressions have to decide in the running proxy. Change: settings name a rules file, checked with the settings, all faults with line and caret; headers that a rule sets go out; SIGHUP swaps a checked set whole, a faulty one leaves the old in force and is said.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -35,7 +35,7 @@
             "servers": [{"name": "box", "uri": f"sip:127.0.0.1:{box_port}{tail}", "trunk_group": "a"}],
             "call_types": [{"name": "timetable", "setup_target_ms": 1200, "guard_ms": 9000, "trunk_groups": ["a"],
                             "hold_ms": 10_000}],
-            "sort": [{"prefix": "+221", "call_type": "timetable"}],
+            "matching": {"text": "default { type timetable }"},
             "limits": {"seizures": seizures, "open_calls": 100_000, "lag_ms": 0, "transactions": 1_000_000},
             "stop": {"calls_ms": 100, "quit_ms": 100}, "log": {"level": "warning", "file": f"{folder}/log"}}, file)
     return path
--- a/thorndale/call/border.py
+++ b/thorndale/call/border.py
@@ -37,9 +37,9 @@
 
 
 class Border:
-    def __init__(self, settings, seed, listeners, send, say, keep=lambda data: None, wall_offset_us=0):
-        """`listeners` is a list of (transport, host, port) that are open; `seed` a random number of 64 bits;
-        `wall_offset_us` the wall clock less the clock of `now`."""
+    def __init__(self, settings, rules, seed, listeners, send, say, keep=lambda data: None, wall_offset_us=0):
+        """`rules` is the RuleSet that sorts calls; `listeners` is a list of (transport, host, port) that are open;
+        `seed` a random number of 64 bits; `wall_offset_us` the wall clock less the clock of `now`."""
         sip = settings.sip
         self.settings, self.instances, self.load_header = settings, settings.instances, settings.load_header.lower()
         self.trunk_context = sip.trunk_context
@@ -49,7 +49,7 @@
         times = Times(sip.t1_ms * 1000, sip.t2_ms * 1000, sip.t4_ms * 1000, max(sip.t1_ms * 64, 1) * 1000)
         self.layer = Layer(self.timers, times, settings.limits.transactions, self, self._out)
         self.door = Door(seed, settings)
-        self.sorter = Sorter(settings)
+        self.sorter, self.wall_offset_us = Sorter(settings, rules), wall_offset_us
         self.press = Press(settings.limits.lag_ms * 1000, settings.limits.open_calls, times.most)
         self.server_hops = [hop_of(s.uri) for s in settings.servers]
         self.server_names = [s.name for s in settings.servers]
@@ -70,6 +70,10 @@
             self._listeners.setdefault((transport, ":" in host), (transport, host, port))
         self.book = Book(self, settings, wall_offset_us, keep) if settings.book else None
 
+    def use(self, rules):
+        """Another checked set of rules sorts the calls from now on; those taken stay as they are."""
+        self.sorter = Sorter(self.settings, rules)
+
     # ---- names and chance ----
 
     def token(self):
@@ -347,10 +351,14 @@
             tx.respond(now, 483, self.token())
             return
         try:
-            found = self.sorter.sort(invite)
+            broken = self.sorter.rules.broken
+            found = self.sorter.sort(invite, now + self.wall_offset_us, tx.hop.transport)
+            if self.sorter.rules.broken != broken:
+                self.count["rules broke"] += 1
+                self.say("warning", "a rule broke, the default was taken", fault=self.sorter.rules.last_fault[:200])
             if found is None:
-                self.count["no row fits"] += 1
-                self.say("warning", "no row fits the call", to=masked(invite.uri.partition("@")[0]))
+                self.count["no rule fits"] += 1
+                self.say("warning", "no rule fits the call", to=masked(invite.uri.partition("@")[0]))
                 tx.respond(now, 404, self.token())
                 return
             token = self.token()
--- a/thorndale/call/call.py
+++ b/thorndale/call/call.py
@@ -9,7 +9,7 @@
 
 from thorndale import interface as io
 from thorndale.call import causes
-from thorndale.call.passing import passed
+from thorndale.call.passing import passed, plain_value
 from thorndale.call.relay import Answer, Relay
 from thorndale.call.reports import report_of
 from thorndale.call.seizure import Seizure
@@ -22,7 +22,7 @@
 class Call:
     __slots__ = ("border", "id", "index", "state", "tx", "number", "caller_uri", "body", "passed", "hops", "seizure",
                  "seizures", "legs", "answers", "relays", "refusal", "outcome", "byes", "server", "came", "owed",
-                 "stood_at", "kind", "wait_bye")
+                 "stood_at", "kind", "wait_bye", "rule")
 
     def __init__(self, border, token, tx, sorted_, hops):
         """`sorted_` is what the sorter found, `hops` the next leg's Max-Forwards. Raises SipError for an INVITE in
@@ -33,6 +33,11 @@
         tx.user = self
         self.number, self.caller_uri, self.body = sorted_.number, invite.from_.uri, invite.body
         self.passed = passed(invite, border.load_header)
+        if sorted_.headers:
+            named = {name.lower() for name, _ in sorted_.headers}
+            self.passed = [pair for pair in self.passed if pair[0].lower() not in named]
+            self.passed += [(name, plain_value(value)) for name, value in sorted_.headers]
+        self.rule = sorted_.rule
         self.kind = sorted_.call_type
         self.state, self.seizure, self.seizures, self.server = "setting up", None, 0, -1
         self.legs = [Dialog.of_request(invite, f"{token}a", tx.hop), None]
@@ -304,6 +309,6 @@
         return {
             "call": self.id, "call_type": self.border.type_names[self.kind], "to": masked(self.number),
             "seizures": self.seizures, "server": names[self.server] if self.server >= 0 else "",
-            "ms": (self.border.now - self.came) // 1000,
+            "rule": self.rule, "ms": (self.border.now - self.came) // 1000,
         }
 
--- a/thorndale/call/passing.py
+++ b/thorndale/call/passing.py
@@ -36,3 +36,8 @@
     """Max-Forwards of the next leg; below 0: the request has gone far enough (RFC 3261 section 16.3)."""
     text = request.get("max-forwards")
     return int(text) - 1 if text.isdigit() else 69
+
+
+def plain_value(text):
+    """A text that a rule worked out, as it may stand in a header: no line ends or other signs below space."""
+    return "".join(c if c >= " " else " " for c in text).strip()
--- a/thorndale/cli/main.py
+++ b/thorndale/cli/main.py
@@ -7,18 +7,19 @@
 
 import typer
 
-from thorndale.config.load import ConfigError, load
+from thorndale.config.load import ConfigError, load, matching
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, help="A call router over trunk groups.",
                   pretty_exceptions_enable=False)
 
 
 def _load(path):
+    """The settings and their rules, or every fault and exit code 2."""
     try:
-        return load(path)
+        settings = load(path)
+        return settings, matching(settings, path)
     except ConfigError as fault:
-        for text in fault.faults:
-            typer.echo(f"{fault.where}: {text}", err=True)
+        typer.echo(fault.shown or "\n".join(f"{fault.where}: {text}" for text in fault.faults), err=True)
         raise typer.Exit(2) from None
 
 
@@ -28,9 +29,9 @@
     from thorndale.daemon.run import StartError
     from thorndale.daemon.run import run as serve
 
-    settings = _load(file)
+    settings, _ = _load(file)
     try:
-        serve(settings)
+        serve(settings, file)
     except StartError as fault:
         typer.echo(f"{file}: {fault}", err=True)
         raise typer.Exit(1) from None
@@ -39,9 +40,10 @@
 @app.command()
 def check(file: str = typer.Argument(help="A settings file, JSON5.")):
     """Checks a settings file and opens nothing."""
-    settings = _load(file)
+    settings, rules = _load(file)
     typer.echo(f"{file}: sound: {len(settings.listen)} listeners, {len(settings.servers)} central servers in "
-               f"{len(settings.trunk_groups)} trunk groups, {len(settings.call_types)} call types")
+               f"{len(settings.trunk_groups)} trunk groups, {len(settings.call_types)} call types, {len(rules.rules)} "
+               f"rules of at most {rules.bound()} steps together")
 
 
 @app.command()
--- a/thorndale/config/load.py
+++ b/thorndale/config/load.py
@@ -1,6 +1,7 @@
 """A settings file to checked Settings, or all its faults at once."""
 
 import ipaddress
+import os
 import types
 import typing
 
@@ -8,6 +9,9 @@
 import pyjson5
 
 from thorndale.config.settings import Settings
+from thorndale.match.faults import MatchError
+from thorndale.match.rules import Names
+from thorndale.match.rules import load as load_rules
 from thorndale.names import nearest
 from thorndale.sip.dialog import hop_of
 from thorndale.sip.errors import SipError
@@ -21,7 +25,7 @@
 
     def __init__(self, where, faults):
         super().__init__("\n".join(f"{where}: {fault}" for fault in faults))
-        self.where, self.faults = where, faults
+        self.where, self.faults, self.shown = where, faults, ""  # shown: with lines and carets, where there are some
 
 
 def load(path):
@@ -57,6 +61,29 @@
     return settings
 
 
+def matching(settings, path):
+    """The RuleSet that the settings name. `path` is the settings file's. Raises ConfigError, each fault with its line
+    and a caret."""
+    names = Names(tuple(t.name for t in settings.call_types), tuple(g.name for g in settings.trunk_groups),
+                  tuple(c.name for c in settings.clients))
+    where, text = f"{path}: matching.text", settings.matching.text
+    if settings.matching.file:
+        where = os.path.join(os.path.dirname(str(path)), settings.matching.file)
+        try:
+            with open(where, "rb") as file:
+                text = file.read(MAX_FILE + 1).decode("utf-8")
+        except OSError as fault:
+            raise ConfigError(where, [f"cannot be read: {fault.strerror}; matching.file names it"]) from None
+        except UnicodeDecodeError as fault:
+            raise ConfigError(where, [f"byte {fault.start} is no UTF-8; save the file as UTF-8"]) from None
+    try:
+        return load_rules(text, names, where, settings.matching.steps)
+    except MatchError as bad:
+        fault = ConfigError(where, [f"{f.line}:{f.column}: {f.text}" for f in bad.faults])
+        fault.shown = str(bad)
+        raise fault from None
+
+
 def shaped(raw, kind, path, faults):
     """Adds to `faults` whatever in `raw` does not fit the type `kind`, each by its own path."""
     kind, bounds = _bare(kind)
@@ -138,8 +165,6 @@
                 faults.append(f"{path}[{n}].name: {item.name!r} stands at {path}[{seen[item.name]}] already")
             seen.setdefault(item.name, n)
     groups = {g.name for g in settings.trunk_groups}
-    kinds = {t.name for t in settings.call_types}
-    clients = {c.name for c in settings.clients}
 
     def named(path, name, among, what):
         if name not in among:
@@ -180,16 +205,8 @@
             named(f"call_types[{n}].trunk_groups[{i}]", group, groups, "trunk group")
         if kind.setup_target_ms > kind.guard_ms:
             faults.append(f"call_types[{n}].setup_target_ms: {kind.setup_target_ms} is over the guard time")
-    for n, row in enumerate(settings.sort):
-        named(f"sort[{n}].call_type", row.call_type, kinds, "call type")
-        if row.trunk_group:
-            named(f"sort[{n}].trunk_group", row.trunk_group, groups, "trunk group")
-        if row.client:
-            named(f"sort[{n}].client", row.client, clients, "client")
-        if row.value and not row.header:
-            faults.append(f"sort[{n}].value: stands without a header")
-        if row.header and not is_token(row.header):
-            faults.append(f"sort[{n}].header: {row.header!r} is no header name")
+    if bool(settings.matching.file) == bool(settings.matching.text):
+        faults.append("matching: needs either a file or a text")
     quotas = [c.quota_per_s > 0 for c in settings.clients]
     if any(quotas) and not all(quotas):
         faults.append("clients: either all have a quota_per_s or none has")
--- a/thorndale/config/settings.py
+++ b/thorndale/config/settings.py
@@ -48,15 +48,12 @@
     quota_per_s: Annotated[float, Meta(ge=0)] = 0.0
 
 
-class Row(Struct, forbid_unknown_fields=True, frozen=True):
-    """A call fits whose number begins with `prefix` and whose `header`, if one is named, holds `value`."""
+class Matching(Struct, forbid_unknown_fields=True, frozen=True):
+    """The rules that sort calls: a file beside the settings, or the text itself; `steps` bounds each expression."""
 
-    call_type: str
-    prefix: str = ""
-    header: str = ""
-    value: str = ""
-    trunk_group: str = ""
-    client: str = ""
+    file: str = ""
+    text: str = ""
+    steps: Count = 50_000
 
 
 class Book(Struct, forbid_unknown_fields=True, frozen=True):
@@ -123,7 +120,7 @@
     trunk_groups: Annotated[list[TrunkGroup], Meta(min_length=1)]
     servers: Annotated[list[CentralServer], Meta(min_length=1)]
     call_types: Annotated[list[CallType], Meta(min_length=1)]
-    sort: Annotated[list[Row], Meta(min_length=1)]
+    matching: Matching
     name: Name = "proxy"
     instances: Count = 1
     clients: list[Client] = []
--- a/thorndale/daemon/run.py
+++ b/thorndale/daemon/run.py
@@ -11,13 +11,14 @@
 import uvloop
 
 from thorndale.call.border import Border
-from thorndale.config.load import listener
+from thorndale.config.load import ConfigError, listener, matching
 from thorndale.daemon import keep
 from thorndale.daemon.log import open_log
 from thorndale.net.ends import Ends, now_us
 
 LOOK_S = 0.05  # between two looks whether the last call has ended, once it is told to stop
 COLLECT_US = 60_000_000  # us between two collections of cycles at least
+FAULTS_SAID = 20  # faults of a rules file that one log line lists
 HEART_S = 0.05  # between two looks at the loop's lag, which also holds while no timer is due
 
 
@@ -25,8 +26,12 @@
     """What keeps the daemon from starting, with what to do."""
 
 
-async def serve(settings, ready=lambda: None):
-    """Runs a proxy until it is told to stop. Raises StartError before anything is served."""
+async def serve(settings, path, ready=lambda: None):
+    """Runs a proxy until it is told to stop; `path` is that of its settings, beside which its rules lie.
+
+    Raises StartError before anything is served, ConfigError for rules that are wrong.
+    """
+    rules = matching(settings, path)
     loop = asyncio.get_running_loop()
     before = descriptors()  # the loop has some of its own
     try:
@@ -35,10 +40,10 @@
         raise StartError(f"log.file: {settings.log.file} cannot be written: {fault.strerror}") from None
     listeners = [listener(text) for text in settings.listen]
     ends = Ends(loop, settings.limits)
-    path = settings.book.file if settings.book else ""
-    keeper = keep.Keeper(loop, path, say)
+    copy = settings.book.file if settings.book else ""
+    keeper = keep.Keeper(loop, copy, say)
     seed = secrets.randbits(64)
-    border = Border(settings, seed, listeners, ends.send, say, keeper.keep, time.time_ns() // 1000 - now_us())
+    border = Border(settings, rules, seed, listeners, ends.send, say, keeper.keep, time.time_ns() // 1000 - now_us())
     ends.core = border
     loop.set_exception_handler(lambda _, context: say("error", "fault in the program", fault=repr(
         context.get("exception") or context.get("message")), where=repr(context.get("handle", ""))))
@@ -52,22 +57,26 @@
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
+    again = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, again.set)
     heart = loop.create_task(_heart(border))
+    reloader = loop.create_task(_reload(again, settings, path, border, say))
     try:
-        border.start(now_us(), keep.read(path, say))
+        border.start(now_us(), keep.read(copy, say))
         ends.arm()
         say("info", "started", listen=settings.listen, pid=os.getpid())
         ready()
         await told.wait()
         await _stop(settings, border, ends, say)
     finally:
-        heart.cancel()
-        await asyncio.gather(heart, return_exceptions=True)
+        for task in (heart, reloader):
+            task.cancel()
+        await asyncio.gather(heart, reloader, return_exceptions=True)
         border.finish()
         left = border.left()
         await ends.close()
         await keeper.close()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.remove_signal_handler(number)
         tasks = len(asyncio.all_tasks()) - 1
         say("info", "stopped", left=left, tasks=tasks, descriptors=descriptors() - before, counts=dict(border.count),
@@ -97,6 +106,21 @@
         border.late(now, max(0, now - before - int(HEART_S * 1e6)))
 
 
+async def _reload(again, settings, path, border, say):
+    """On SIGHUP: the rules anew, read and checked off the loop, swapped whole; faulty ones leave the old in force."""
+    while True:
+        await again.wait()
+        again.clear()
+        try:
+            rules = await asyncio.get_running_loop().run_in_executor(None, matching, settings, path)
+        except ConfigError as fault:
+            say("error", "rules refused, the old ones stay", file=fault.where, faults=fault.faults[:FAULTS_SAID],
+                count=len(fault.faults))
+            continue
+        border.use(rules)
+        say("info", "rules in force", rules=len(rules.rules), file=rules.name)
+
+
 async def _stop(settings, border, ends, say):
     """No new calls; then what is under way has `calls_ms`, and what is left is released within `quit_ms`."""
     say("info", "stopping", calls=border.open_calls())
@@ -128,7 +152,7 @@
     return found
 
 
-def run(settings):
+def run(settings, path):
     """Runs `serve` on uvloop to its end."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(serve(settings))
+        runner.run(serve(settings, path))
--- a/thorndale/standins/day.py
+++ b/thorndale/standins/day.py
@@ -22,7 +22,7 @@
 from thorndale.standins.callers import Callers, Kind, Want
 from thorndale.standins.poolbook import PoolBook
 from thorndale.standins.processor import Work
-from thorndale.standins.script import settings_of
+from thorndale.standins.script import rules_of, settings_of
 
 START_S = 15  # a proxy that has not started by then will not
 PORTS_FROM, PORTS, PORTS_EACH = 20_000, 12_000, 64
@@ -128,6 +128,8 @@
                     self.files[name] = f"{folder}/{name}.json5"
                     with open(self.files[name], "w", encoding="utf-8") as file:
                         json.dump(settings_of(day, n, port, uris, self.book.uri(), folder), file, indent=1)
+                    with open(f"{folder}/{name}.rules", "w", encoding="utf-8") as file:
+                        file.write(rules_of(day))
                     self.spawn(name)
                 await asyncio.gather(*(self.started(name) for name in self.processes))
                 await self._traffic()
