--- a/tests/call/test_calls.py
+++ b/tests/call/test_calls.py
@@ -434,3 +434,16 @@
     rig = Rig()
     rig.give(rig.invite().replace("Contact:", "+221771234567 Contact"))
     assert [f for _, e, f in rig.lines if e == "unreadable message"] and "1771234" not in repr(rig.lines)
+
+
+def test_rules_sort_calls_and_are_swapped_between_two():
+    from thorndale.match.rules import load
+    rig = Rig()
+    rig.border.use(load('rule "x" { when caller == "+221771234567" type leaving-soon header "X-Sorted" = "by " + lower(caller) }'
+                        ' default { type timetable }'))
+    rig.give(rig.invite(extra="X-Sorted: forged\r\n"))
+    first = rig.only(BOX2, "INVITE")  # leaving-soon's own first choice
+    assert first.all("x-sorted") == ["by +221771234567"]
+    rig.border.use(load("default { type timetable group b }"))
+    rig.give(rig.invite(branch="z9hG4bK2", call="2", tag="t2"))
+    assert methods(rig.take(BOX2)) == ["INVITE"] and rig.border.open_calls() == 2
--- a/thorndale/match/compile.py
+++ b/thorndale/match/compile.py
@@ -32,9 +32,9 @@
 
     def _fold(self, tree):
         found = self.folded.get(id(tree))
-        if found is None:
-            found = self.folded[id(tree)] = folded(tree, self.scope)
-        return found
+        if found is None:  # the tree is kept too: another could be given its id once it is gone
+            found = self.folded[id(tree)] = (tree, folded(tree, self.scope))
+        return found[1]
 
     def _give(self, value, prefix="k"):
         self.serial += 1
