--- a/thorndale/cli/tables.py
+++ b/thorndale/cli/tables.py
@@ -51,6 +51,9 @@
     for at, rule, text in breaks[:BREAKS_SHOWN]:
         console.print(f"BROKEN at {(at - player.began) / 1e6:.3f} s: {rule}: {text}", highlight=False, markup=False)
     console.print("rules: " + ", ".join(f"{rule} {by_rule[rule]}" for rule in RULES))
+    if player.wrong_type or len(player.editions) > 1:
+        editions = ", ".join(f"edition {e} {n}" for e, n in sorted(player.editions.items()))
+        console.print(f"set-ups by rules: {editions}; of a wrong call type {player.wrong_type}")
     left = leaks(player)
     for name, held in left.items():
         console.print(f"LEFT in {name}: {held}", highlight=False, markup=False)
--- a/thorndale/standins/box.py
+++ b/thorndale/standins/box.py
@@ -43,6 +43,7 @@
         self.lose_answers = self.reset_part = self.report_late_us = 0
         self.flood = self.held_back = False
         self.reports = deque([(0, 0)])
+        self.note = lambda number, sorted_: None  # told what the proxy's rules made of each set-up
 
     def uri(self):
         return f"sip:127.0.0.1:{self.listener[2]}" + (";transport=tcp" if self.transport == "tcp" else "")
@@ -101,6 +102,7 @@
 
     def _setup(self, now, tx):
         tx.respond(now, 100)
+        self.note(tx.message.uri.partition(":")[2], tx.message.get("x-sorted"))
         if self.flood:
             self.processor._do(now, self.work.reject_us)
             tx.respond(now, 503, "x")
--- a/thorndale/standins/day.py
+++ b/thorndale/standins/day.py
@@ -72,6 +72,7 @@
         self.processes, self.files, self.left, self.seconds = {}, {}, {}, 0.0
         self.rate_factor, self.only = 1.0, []
         self.tasks, self.faults = [], []
+        self.wrong_type, self.editions, self.edition = 0, Counter(), 1
 
     # ---- what callers report ----
 
@@ -88,6 +89,12 @@
             if now - attempt.want.first_at <= self.callers.kinds[attempt.want.kind].target_us:
                 self.count[(name, "in time")] += 1
 
+    def sorted_as(self, number, sorted_):
+        """A set-up's type as the proxy's rules have it, against the caller's."""
+        name, _, edition = sorted_.rpartition(" ")
+        self.editions[edition] += 1
+        self.wrong_type += not any(t.name == name and number.startswith(t.prefix) for t in self.day.types)
+
     # ---- the parts ----
 
     async def play(self):
@@ -118,6 +125,7 @@
             try:
                 self.book.start()
                 for box in self.boxes.values():
+                    box.note = self.sorted_as
                     box.start(False)
                     self.book.change(now_us(), box.name, "serving", 0)
                 self.callers.start()
@@ -225,6 +233,13 @@
             self.book.muddle = True
             await asyncio.sleep(span)
             self.book.muddle = False
+        elif kind.startswith("rules of proxy"):
+            self.edition += 1
+            text = rules_of(self.day, self.edition)
+            for name in fault.who:
+                with open(self.files[name].replace(".json5", ".rules"), "w", encoding="utf-8") as file:
+                    file.write(text[:-9] if kind.endswith("cut off") else text)
+                self.processes[name].send_signal(signal.SIGHUP)
         elif kind == "proxy killed":
             for name in fault.who:
                 self.processes[name].kill()
@@ -333,7 +348,7 @@
 
 
 def exit_code(player, breaks):
-    return 1 if breaks or leaks(player) else 0
+    return 1 if breaks or leaks(player) or player.wrong_type else 0
 
 
 __all__ = ["DayError", "Player", "RULES", "exit_code", "leaks", "play"]
--- a/thorndale/standins/script.py
+++ b/thorndale/standins/script.py
@@ -10,7 +10,7 @@
 
 Us = Annotated[float, Meta(gt=0)]
 KINDS = ("dies", "drains", "slow", "hangs", "ages", "loses answers", "resets", "reports late", "floods", "proxy killed",
-         "proxy stopped", "burst", "one proxy", "book lost", "book muddled")
+         "proxy stopped", "burst", "one proxy", "book lost", "book muddled", "rules of proxy", "rules of proxy cut off")
 
 
 class BoxPlan(Struct, forbid_unknown_fields=True):
@@ -136,9 +136,11 @@
     }
 
 
-def rules_of(day):
-    """The rules by which the day's calls are sorted: a type by its prefix, a trunk group by the digit after it."""
+def rules_of(day, edition=1):
+    """The rules by which the day's calls are sorted: a type by its prefix, a trunk group by the digit after it. What
+    they made of a call goes out as X-Sorted, so that it can be seen at the boxes."""
     groups = list(dict.fromkeys(b.trunk_group for b in day.boxes))
     return "\n".join(
-        f'rule "{t.name} {group}" {{ when prefix(number, "{t.prefix}{digit}") type {t.name} group "{group}" }}'
+        f'rule "{t.name} {group}" {{ when prefix(number, "{t.prefix}{digit}") type {t.name} group "{group}" '
+        f'header "X-Sorted" = "{t.name} {edition}" }}'
         for t in day.types for digit, group in zip("0123456789", groups, strict=False)) + "\n"
