--- a/bench/calls.py
+++ b/bench/calls.py
@@ -41,10 +41,10 @@
     return path
 
 
-def start_proxy(path, port):
+def start_proxy(path, port, wait_s=15):
     process = subprocess.Popen([sys.executable, "-m", "thorndale", "run", path])
     import socket
-    end = time.monotonic() + 15
+    end = time.monotonic() + wait_s
     while time.monotonic() < end:
         with socket.socket() as probe:
             if probe.connect_ex(("127.0.0.1", port)) == 0:
