--- a/thorndale/cli/main.py
+++ b/thorndale/cli/main.py
@@ -38,12 +38,22 @@
 
 
 @app.command()
-def check(file: str = typer.Argument(help="A settings file, JSON5.")):
+def check(
+    file: str = typer.Argument(help="A settings file, JSON5."),
+    deep: bool = typer.Option(False, help="Also ask a solver which rules never match, overlap or leave calls out."),
+    seconds: float = typer.Option(20.0, help="With --deep: time for all questions together."),
+):
     """Checks a settings file and opens nothing."""
     settings, rules = _load(file)
     typer.echo(f"{file}: sound: {len(settings.listen)} listeners, {len(settings.servers)} central servers in "
                f"{len(settings.trunk_groups)} trunk groups, {len(settings.call_types)} call types, {len(rules.rules)} "
                f"rules of at most {rules.bound()} steps together")
+    if deep:
+        from thorndale.match.deep import Analysis
+
+        for finding in Analysis(rules, seconds).all():
+            call = f"; for example {finding.example}" if finding.example else ""
+            typer.echo(f"{finding.kind}: {', '.join(map(repr, finding.rules))}: {finding.text}{call}")
 
 
 @app.command()
