--- a/thorndale/config/load.py
+++ b/thorndale/config/load.py
@@ -8,6 +8,7 @@
 import msgspec
 import pyjson5
 
+from thorndale.config.lists import reader
 from thorndale.config.settings import Settings
 from thorndale.match.faults import MatchError
 from thorndale.match.rules import Names
@@ -77,7 +78,8 @@
         except UnicodeDecodeError as fault:
             raise ConfigError(where, [f"byte {fault.start} is no UTF-8; save the file as UTF-8"]) from None
     try:
-        return load_rules(text, names, where, settings.matching.steps)
+        folder = os.path.dirname(where if settings.matching.file else str(path))
+        return load_rules(text, names, where, settings.matching.steps, reader(folder))
     except MatchError as bad:
         fault = ConfigError(where, [f"{f.line}:{f.column}: {f.text}" for f in bad.faults])
         fault.shown = str(bad)
--- a/thorndale/match/rules.py
+++ b/thorndale/match/rules.py
@@ -77,12 +77,18 @@
 ANYTHING = Names()
 
 
-def load(source, names=ANYTHING, name="rules", steps_most=STEPS_MOST):
-    """A RuleSet. Raises MatchError with every fault of the text."""
-    return RuleSet(*_checked(parse.read(source, "start", name), source, names, name, steps_most))
+def no_files(path, columns):
+    """Where nobody reads files: a set or table `from` one is a fault."""
+    raise ValueError("sets and tables from files cannot be read here")
 
 
-def _checked(tree, source, names, name, steps_most):
+def load(source, names=ANYTHING, name="rules", steps_most=STEPS_MOST, read=no_files):
+    """A RuleSet. `read(path, columns)` gives the rows of a file, each that many texts, and raises an exception whose
+    text says what is wrong with it. Raises MatchError with every fault of the text."""
+    return RuleSet(*_checked(parse.read(source, "start", name), source, names, name, steps_most, read))
+
+
+def _checked(tree, source, names, name, steps_most, read=no_files):
     scope = Scope()
     checker = Checker(scope, steps_most)
     rules, default, taken = [], None, {}
@@ -99,8 +105,24 @@
         taken.setdefault(word, token.line)
         return word
 
+    def rows_of(token, columns):
+        try:
+            found = read(parse.unescaped(token), columns)
+        except Exception as wrong:  # noqa: BLE001 - whatever the reader says is a fault of this line
+            fault(token, str(wrong))
+            return []
+        if len(found) > ENTRIES_MOST:
+            fault(token, f"more than {ENTRIES_MOST} rows")
+        return found
+
     for item in tree.children:
-        if item.data == "set_item":
+        if item.data == "set_file":
+            word = fresh(item.children[0])
+            scope.sets[word] = frozenset(row[0] for row in rows_of(item.children[1], 1))
+        elif item.data == "table_file":
+            word, rows = fresh(item.children[0]), dict(rows_of(item.children[1], 2))
+            scope.tables[word] = Table(rows, tuple(sorted({len(p) for p in rows}, reverse=True)))
+        elif item.data == "set_item":
             word, values = fresh(item.children[0]), [parse.node(c) for c in item.children[1:]]
             for value in values:
                 checker.check(value)
