--- a/tests/standins/broken.py
+++ b/tests/standins/broken.py
@@ -1,6 +1,9 @@
 """Border proxies with one thing wrong each: `python broken.py FAULT run FILE`. The auditor must name the rule."""
 
 import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parents[2]))  # run as a script, not installed
 
 from thorndale.call import border, call, door
 from thorndale.call.book import Book, Entry
--- a/thorndale/cli/explain.py
+++ b/thorndale/cli/explain.py
@@ -7,7 +7,10 @@
 from msgspec import Struct
 
 from thorndale.config.load import ConfigError, shaped
+from thorndale.daemon.keep import replace
 from thorndale.match.facts import Facts
+from thorndale.match.faults import MatchError
+from thorndale.match.fmt import formatted
 from thorndale.sip import message as m
 from thorndale.sip.errors import SipError
 
@@ -101,3 +104,18 @@
             say(f"{path}[{n}]: {example.number}: sorted {found._asdict() if found else None}")
     say(f"{n + 1 if raw else 0} examples, {wrong} wrong")
     return 1 if wrong else 0
+
+
+def format_rules(path, say):
+    """Writes a rules file in its one form. 0, or 2 where it is no rule set; then it stays as it is."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            source = file.read()
+        text = formatted(source, path)
+    except (OSError, UnicodeDecodeError, MatchError) as fault:
+        say(f"{path}: {fault}", err=True)
+        return 2
+    if text != source:
+        replace(path, text.encode())
+        say(f"{path}: written anew")
+    return 0
--- a/thorndale/cli/main.py
+++ b/thorndale/cli/main.py
@@ -1,4 +1,5 @@
-"""`thorndale run FILE`, `check FILE`, `match FILE --number N`, `match test FILE EXAMPLES`, `day DAY`.
+"""`thorndale run FILE`, `check FILE`, `match FILE --number N`, `match test FILE EXAMPLES`,
+`match fmt RULES`, `day DAY`.
 
 Exit codes: 0 done; 1 it could not be done, or a rule was broken; 2 the input is wrong and nothing was opened.
 """
@@ -58,20 +59,22 @@
 
 @app.command()
 def match(
-    what: list[str] = typer.Argument(help="A settings file; or 'test', a settings file and a file of examples."),
+    what: list[str] = typer.Argument(help="A settings file; or 'test', settings, examples; or 'fmt', a rules file."),
     number: str = typer.Option("", help="The number dialled."),
     caller: str = typer.Option("+221770000000", help="The caller's number."),
     header: list[str] = typer.Option([], help="A header, as 'Name: value'; may be given again."),
     call: str = typer.Option("", help="A file that holds an INVITE, in place of the above."),
 ):
     """Tells how the rules of FILE sort a call, and why; 'test' runs examples kept beside them."""
-    from thorndale.cli.explain import explain, run_examples
+    from thorndale.cli.explain import explain, format_rules, run_examples
 
+    if what[0] == "fmt" and len(what) == 2:
+        raise typer.Exit(format_rules(what[1], typer.echo))
     if what[0] == "test" and len(what) == 3:
         settings, rules = _load(what[1])
         raise typer.Exit(run_examples(settings, rules, what[2], typer.echo))
     if len(what) != 1 or not (number or call):
-        typer.echo("match: give one settings file with --number or --call, or 'test FILE EXAMPLES'", err=True)
+        typer.echo("match: give a settings file with --number or --call, 'test FILE EXAMPLES' or 'fmt RULES'", err=True)
         raise typer.Exit(2)
     settings, rules = _load(what[0])
     raise typer.Exit(explain(settings, rules, number, caller, header, call, typer.echo))
