--- a/thorndale/cli/tables.py
+++ b/thorndale/cli/tables.py
@@ -43,8 +43,7 @@
     offered = total["offered"]
     console.print(f"{offered} calls in {player.seconds:.1f} s, {player.auditor.messages} messages seen, "
                   f"{player.day.proxies} proxies, {len(player.day.boxes)} boxes")
-    answered = len(player.auditor.tries) - player.auditor.excused - sum(
-        1 for t in player.auditor.tries.values() if len(t.finals) != 1 and not (t.cancelled and t.finals))
+    answered = sum(1 for t in player.auditor.tries.values() if len(t.finals) == 1)
     console.print(f"tries: {len(player.auditor.tries)}, with one final answer {answered}, "
                   f"sent to a proxy that was killed {player.auditor.excused}")
     by_rule = Counter(rule for _, rule, _ in breaks)
