A steered search for the dearest message; examples of rules run at check

Change: hypothesis steers message sizes towards each expression's bound; matching.examples is run by thorndale check. Measured: 600 expressions with messages sought, no bound passed.

--- a/tests/config/test_load.py
+++ b/tests/config/test_load.py
@@ -49,7 +49,7 @@
     ('"tcp:127.0.0.1:5060"', '"udp:127.0.0.1:5060"', "listen[1]:"),
     ('"tcp:127.0.0.1:5060"', '"tcp:localhost:5060"', "listen[1]:"),
     ('"tcp:127.0.0.1:5060"', '"tcp:127.0.0.1"', "listen[1]: the port is missing"),
-    ('{ file: "proxy.rules" }', "{}", "matching: needs either"),
+    ('file: "proxy.rules", ', "", "matching: needs either"),
     ('[{ name: "coaches" }]', '[{ name: "coaches" }, { name: "b", quota_per_s: 3 }]', "clients:"),
 ])
 def test_faults_between_fields(old, new, path):
@@ -113,3 +113,24 @@
     with pytest.raises(ConfigError) as caught:
         read_file(str(tmp_path / "day.json5"))
     assert [f.partition(":")[0] for f in caught.value.faults] == ["faults[0].kind", "faults[1].who"]
+
+
+def test_examples_run_at_check_and_by_match(tmp_path):
+    for name in ("proxy.json5", "proxy.rules", "proxy.examples.json5"):
+        (tmp_path / name).write_text(open(f"examples/{name}", encoding="utf-8").read(), encoding="utf-8")
+    path = str(tmp_path / "proxy.json5")
+    assert "5 examples, 0 wrong" in thorndale("check", path).stdout
+    (tmp_path / "proxy.rules").write_text((tmp_path / "proxy.rules").read_text().replace('"+22133" or', '"+2213300" or').replace(
+        'prefix(number, "+22133")', 'prefix(number, "+22138")'))
+    done = thorndale("check", path)
+    assert done.returncode == 1 and "1 wrong" in done.stdout and "+22133000123" in done.stdout
+    done = thorndale("match", path, "--number", "+22170000123", "--header", "X-Station: thies")
+    assert done.returncode == 0 and "FITS  'through Thies'" in done.stdout and "'group': 'thies'" in done.stdout
+    (tmp_path / "call.txt").write_text("INVITE sip:+22170000123@h SIP/2.0\nVia: SIP/2.0/UDP h;branch=z9hG4bKx\nFrom: <sip:a@h>;tag=x\n"
+                                       "To: <sip:b@h>\nCall-ID: x\nCSeq: 1 INVITE\n\n")
+    assert "'rule': 'timetable'" in thorndale("match", path, "--call", str(tmp_path / "call.txt")).stdout
+    assert thorndale("match", path, "--call", str(tmp_path / "none")).returncode == 2
+    assert thorndale("match", path).returncode == 2
+    (tmp_path / "proxy.rules").write_text('rule "x" { when numbr == 5 type timetabel }')
+    done = thorndale("check", path)
+    assert done.returncode == 2 and "proxy.rules:1:17" in done.stderr and "^" in done.stderr and "'timetable' is meant" in done.stderr
--- a/tests/match/test_expressions.py
+++ b/tests/match/test_expressions.py
@@ -4,7 +4,7 @@
 
 import pytest
 from call.rig import Rig
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, given, settings, target
 from hypothesis import strategies as st
 
 from thorndale.match.check import Checker, Scope, Table
@@ -250,3 +250,21 @@
     agree()
     assert pairs[0] >= 200_000 and len(ratios) > 500
     assert statistics.median(ratios) <= 10, statistics.median(ratios)
+
+
+@settings(max_examples=600, derandomize=True, deadline=None, database=None, suppress_health_check=list(HealthCheck))
+@given(EXPRESSIONS, st.integers(1, 2_000), st.integers(1, 2_000), st.integers(0, 200), st.integers(0, 7_000),
+       st.sampled_from(["9", "a", "+221", "2-", "q"]), st.sampled_from(["221", "7", "2-"]))
+def dearest_message(text, number, caller, count, length, unit, digit):
+    """Searches for the message on which an expression takes most steps, steered towards its bound."""
+    names, tree = checked(text, 10_000_000)
+    call = facts("X: q\r\n" * count + "X: " + (unit * length)[:length] + "\r\nN: 12\r\n", number="+" + (digit * number)[:number],
+                 caller="+" + (digit * caller)[:caller])
+    walker = Walker(names, call)
+    walker.value(tree)
+    target(walker.steps / tree.bound)
+    assert walker.steps <= tree.bound, (text, walker.steps, tree.bound)
+
+
+def test_no_message_found_passes_a_bound():
+    dearest_message()
--- a/tests/match/test_rule_sets.py
+++ b/tests/match/test_rule_sets.py
@@ -153,6 +153,12 @@
     assert isinstance(made, RuleSet)
 
 
+def test_a_set_that_names_itself():
+    for source in ("set a = [a]", 'set a = ["x", b]\nset b = ["y"]', "let a = b\nlet b = a"):
+        with pytest.raises(MatchError):
+            load(source + "\ndefault { type t }")
+
+
 def test_bounds_on_a_file():
     for source, text in (("#" * (9 << 20), "longer than"), ("(" * 100, "deeper than 60")):
         with pytest.raises(MatchError, match=text):
--- a/thorndale/cli/main.py
+++ b/thorndale/cli/main.py
@@ -49,6 +49,15 @@
     typer.echo(f"{file}: sound: {len(settings.listen)} listeners, {len(settings.servers)} central servers in "
                f"{len(settings.trunk_groups)} trunk groups, {len(settings.call_types)} call types, {len(rules.rules)} "
                f"rules of at most {rules.bound()} steps together")
+    if settings.matching.examples:
+        import os
+
+        from thorndale.cli.explain import run_examples
+
+        beside = os.path.join(os.path.dirname(file), settings.matching.examples)
+        code = run_examples(settings, rules, beside, typer.echo)
+        if code:
+            raise typer.Exit(code)
     if deep:
         from thorndale.match.deep import Analysis
 
--- a/thorndale/config/settings.py
+++ b/thorndale/config/settings.py
@@ -49,10 +49,12 @@
 
 
 class Matching(Struct, forbid_unknown_fields=True, frozen=True):
-    """The rules that sort calls: a file beside the settings, or the text itself; `steps` bounds each expression."""
+    """The rules that sort calls: a file beside the settings, or the text itself; `steps` bounds each expression;
+    `examples` is a file of calls and what should become of them, run by `thorndale check`."""
 
     file: str = ""
     text: str = ""
+    examples: str = ""
     steps: Count = 50_000
 
 
