One way to cancel and one user for what nobody waits for

Cause: a look for lines written twice found two CANCELs and two users that are told nothing. Change: Seizure cancels through the border; the pool book uses the transaction room's.

--- a/thorndale/call/book.py
+++ b/thorndale/call/book.py
@@ -19,6 +19,7 @@
 from thorndale.sip.errors import SipError
 from thorndale.sip.headers import parse_params, parse_retry_after
 from thorndale.sip.message import Message
+from thorndale.sip.transaction import GONE
 
 STATES = {"serving": io.SERVING, "draining": io.DRAINING, "gone": io.GONE}
 MAX_SERVERS = 10_000  # entries of one notification
@@ -256,18 +257,6 @@
             via = via_text(transport, host, port, self.border.branch())
             message = self.dialog.request("SUBSCRIBE", via, [("Event", "pool-book"), ("Expires", "0"),
                                                              ("Contact", self.border.contact(self.dialog.hop))])
-            self.border.layer.request(now, message, self.dialog.hop, Ending())
+            self.border.layer.request(now, message, self.dialog.hop, GONE)
         self.state, self.dialog = "stopped", None
         self.border.owners.pop(self.token, None)
-
-
-class Ending:
-    """The user of a transaction whose end nobody waits for."""
-
-    __slots__ = ()
-
-    def response(self, now, tx, message):
-        pass
-
-    def failed(self, now, tx, kind):
-        pass
--- a/thorndale/call/border.py
+++ b/thorndale/call/border.py
@@ -11,7 +11,7 @@
 from xxhash import xxh64_intdigest
 
 from thorndale import interface as io
-from thorndale.call.book import Book, Ending
+from thorndale.call.book import Book
 from thorndale.call.call import BOX, CALLER, Call
 from thorndale.call.causes import comeback
 from thorndale.call.door import Door
@@ -22,7 +22,7 @@
 from thorndale.sip.dialog import hop_of, via_text
 from thorndale.sip.errors import SipError
 from thorndale.sip.message import Message
-from thorndale.sip.transaction import Hop, Layer, Times
+from thorndale.sip.transaction import GONE, Hop, Layer, Times
 from thorndale.sip.uri import host_port
 from thorndale.timers import Timers
 
@@ -61,7 +61,7 @@
         self.standing = deque()  # (when it stood, call), oldest first; calls that are over stay until then
         self.freed = []  # numbers of calls to give back once the module has had what was told of them
         self.count = Counter()
-        self.ending = Ending()
+        self.ending = GONE  # the user of transactions whose end nobody waits for
         self.stopping = False
         self.module_timer, self.sweep_timer = None, None
         self._said = {}  # event: when last logged, lines left out since
@@ -134,7 +134,7 @@
         return self.layer.request(now, message, dialog.hop, user) is not None
 
     def cancel(self, now, tx):
-        """A CANCEL of an INVITE inside a dialog, once (the layer refuses a second of the same branch)."""
+        """A CANCEL of an INVITE (RFC 3261 section 9.1), once: the layer refuses a second of the same branch."""
         invite = tx.message
         cancel = Message("CANCEL", invite.uri)
         cancel.fields = [f for f in invite.fields if f[0] in ("via", "max-forwards", "from", "to", "call-id", "route")]
--- a/thorndale/call/seizure.py
+++ b/thorndale/call/seizure.py
@@ -86,11 +86,7 @@
         if self.cancelled:
             return
         self.cancelled = True
-        invite = self.tx.message
-        cancel = Message("CANCEL", invite.uri)
-        cancel.fields = [f for f in invite.fields if f[0] in ("via", "max-forwards", "from", "to", "call-id")]
-        cancel.add("CSeq", f"{invite.cseq[0]} CANCEL")
-        self.border.layer.request(now, cancel, self.tx.hop, self.border.ending)
+        self.border.cancel(now, self.tx)
         self.timer = self.border.timers.set(now + self.border.layer.times.most, self, "abandon")
 
     # ---- the transaction's user ----
--- a/thorndale/sip/transaction.py
+++ b/thorndale/sip/transaction.py
@@ -127,7 +127,7 @@
 
 
 class _Gone:
-    """The user of a transaction that is over: nothing is told any more."""
+    """The user of a transaction that is over, or whose end nobody waits for: nothing is told."""
 
     __slots__ = ()
 
