--- a/tests/standins/broken.py
+++ b/tests/standins/broken.py
@@ -21,6 +21,7 @@
         if self.index % 8 == 0:
             other = Seizure(self, 7, (server + 1) % len(self.border.server_hops))
             other.send(now, timeout_us)
+            other.state = "given up"  # its answers are released, so that nothing else is wrong with this proxy
     Call.seize = both
 
 
--- a/thorndale/call/border.py
+++ b/thorndale/call/border.py
@@ -414,11 +414,15 @@
         """The time for calls to end by themselves is over: those set up are answered, those standing released."""
         self.now = now
         for owner in list(self.owners.values()):
-            if isinstance(owner, Call):
+            if not isinstance(owner, Call):
+                continue
+            try:
                 if owner.state == "setting up":
                     owner.left(now, 503)
                 else:
                     owner.end(now, -1, "stopped")
+            except Exception as fault:  # noqa: BLE001 - one call's fault must not keep the others from their end
+                self.say("error", "fault in the program", call=owner.id, fault=repr(fault))
 
     def open_calls(self):
         return sum(1 for owner in self.owners.values() if isinstance(owner, Call))
--- a/thorndale/standins/box.py
+++ b/thorndale/standins/box.py
@@ -43,6 +43,7 @@
         self.lose_answers = self.reset_part = self.report_late_us = 0
         self.flood = self.held_back = False
         self.reports = deque([(0, 0)])
+        self.conns = {}  # a connection's hop: the sent-by of the proxy whose set-ups come by it
         self.note = lambda number, sorted_: None  # told what the proxy's rules made of each set-up
 
     def uri(self):
@@ -76,6 +77,13 @@
         free, wait = max(0, self.lines - self.used), self.reports[0][1] / 1000
         return ("X-Load", f"free={free};lines={self.lines};wait={wait:.1f}")
 
+    def lost(self, now, hop, kind):
+        """A connection has ended: what still came by it after it was dropped is reset too."""
+        sent_by = self.conns.pop(hop, None)
+        if sent_by is not None:
+            self.saw(now, self.place, "reset", sent_by)
+        super().lost(now, hop, kind)
+
     # ---- the layer's user ----
 
     def request(self, now, tx, message):
@@ -101,6 +109,9 @@
             tx.respond(now, 200, "x")
 
     def _setup(self, now, tx):
+        if tx.hop.conn and tx.hop not in self.conns:
+            via = tx.message.via
+            self.conns[tx.hop] = f"{via.host}:{via.port}".encode()
         tx.respond(now, 100)
         self.note(tx.message.uri.partition(":")[2], tx.message.get("x-sorted"))
         if self.flood:
@@ -111,8 +122,7 @@
             if self.transport == "tcp":
                 connection = self.ends.tcp.by_hop.get(tx.hop)
                 if connection is not None:
-                    via = tx.message.via
-                    self.saw(now, self.place, "reset", f"{via.host}:{via.port}".encode())
+                    self.saw(now, self.place, "reset", self.conns[tx.hop])
                     self.ends.tcp.drop(connection)
             else:
                 tx.respond(now, 500, "x")
--- a/thorndale/standins/day.py
+++ b/thorndale/standins/day.py
@@ -322,7 +322,8 @@
                 last = json.loads(file.readlines()[-1])
             self.left[name] = last
             if process.returncode:
-                raise DayError(f"{name} ended with {process.returncode}")
+                with open(self.files[name] + ".err", encoding="utf-8", errors="replace") as file:
+                    raise DayError(f"{name} ended with {process.returncode}: {file.read()[-800:]}")
 
 
 def play(day, calls=0, command=None, folder=None):
