--- a/bench/calls.py
+++ b/bench/calls.py
@@ -186,6 +186,10 @@
     for way in dict.fromkeys(r["way"] for r in rows):
         top, relay = reached(rows, way), reached(rows, "relay")
         lines.append(f"- {way}: {top} calls/s ({top / relay:.2f} of the relay)" if relay else f"- {way}: {top} calls/s")
+    lines += ["", "CPU a call at 1,000 a second, as a multiple of the bare relay's:", ""]
+    at = {r["way"]: r["cpu_us_call"] for r in rows if r["rate"] == 1000}
+    if at.get("relay"):
+        lines += [f"- {way}: {used / at['relay']:.1f}" for way, used in at.items() if used]
     lines += ["", "## Standing calls", "", "Transactions are over; RSS against the same process before the first call.", "",
               "| transport | calls | RSS MB | bytes a call | idle CPU |", "| --- | ---: | ---: | ---: | ---: |"]
     for h in found["standing"]:
