--- a/thorndale/call/border.py
+++ b/thorndale/call/border.py
@@ -14,10 +14,12 @@
 from thorndale.call.book import Book
 from thorndale.call.call import BOX, CALLER, Call
 from thorndale.call.causes import comeback
+from thorndale.call.detail import of_call, of_refused
 from thorndale.call.door import Door
 from thorndale.call.passing import hops_left, refused_extensions
 from thorndale.call.press import Press
 from thorndale.call.sort import Sorter, hidden, masked
+from thorndale.records.ledger import Unkept
 from thorndale.sip import message as m
 from thorndale.sip.dialog import hop_of, via_text
 from thorndale.sip.errors import SipError
@@ -37,9 +39,11 @@
 
 
 class Border:
-    def __init__(self, settings, rules, seed, listeners, send, say, keep=lambda data: None, wall_offset_us=0):
+    def __init__(self, settings, rules, seed, listeners, send, say, keep=lambda data: None, wall_offset_us=0,
+                 ledger=None, hide=str):
         """`rules` is the RuleSet that sorts calls; `listeners` is a list of (transport, host, port) that are open;
-        `seed` a random number of 64 bits; `wall_offset_us` the wall clock less the clock of `now`."""
+        `seed` a random number of 64 bits; `wall_offset_us` the wall clock less the clock of `now`;
+        `ledger` a records.Ledger, or None where no records are kept; `hide(number)` what they keep of a caller's."""
         sip = settings.sip
         self.settings, self.instances, self.load_header = settings, settings.instances, settings.load_header.lower()
         self.trunk_context = sip.trunk_context
@@ -47,6 +51,7 @@
         self.now, self.state = 0, seed & MASK
         self.timers = Timers()
         times = Times(sip.t1_ms * 1000, sip.t2_ms * 1000, sip.t4_ms * 1000, max(sip.t1_ms * 64, 1) * 1000)
+        self.ledger, self.hide, self.record_timer = ledger or Unkept(), hide, None
         self.layer = Layer(self.timers, times, settings.limits.transactions, self, self._out)
         self.door = Door(seed, settings)
         self.sorter, self.wall_offset_us = Sorter(settings, rules), wall_offset_us
@@ -70,6 +75,10 @@
             self._listeners.setdefault((transport, ":" in host), (transport, host, port))
         self.book = Book(self, settings, wall_offset_us, keep) if settings.book else None
 
+    def wall_us(self):
+        """What the wall clock says now, for marks; a shell that knows better replaces it."""
+        return self.now + self.wall_offset_us
+
     def use(self, rules):
         """Another checked set of rules sorts the calls from now on; those taken stay as they are."""
         self.sorter = Sorter(self.settings, rules)
@@ -209,11 +218,12 @@
             if press.knows(_number(key)):
                 self._refuse(now, message, hop, "refused again")
                 return True
-        if not self.stopping and not press.refuses(now, len(self.door)):
+        unkept = self.ledger.refusing(now)
+        if not self.stopping and not unkept and not press.refuses(now, len(self.door)):
             return False
         if message.to_tag or self.layer.key(message, message.via) in self.layer.servers:
             return False  # a call that was taken: its own matter
-        self._refuse(now, message, hop, "refused early")
+        self._refuse(now, message, hop, "refused for want of records" if unkept else "refused early")
         return True
 
     def _refuse(self, now, message, hop, why):
@@ -223,7 +233,12 @@
         self.press.remember(now, number)
         wait = int(self.settings.comeback.most_ms * 1000 * (1 + (number >> 32) / (1 << 32)) / 2)
         extra = comeback(wait) if self.settings.comeback.told else []
-        self._out(hop, m.response_to(message, 503, f"{number:016x}", extra=extra).encode())
+        data = m.response_to(message, 503, f"{number:016x}", extra=extra).encode()
+        if why == "refused again" or message.method != "INVITE" or not self.ledger.kept:
+            self._out(hop, data)
+            return
+        record = of_refused(self, now, message, 503, why)
+        self.ledger.refused(now, record, lambda _: self._out(hop, data), why == "transactions full")
 
     def full(self, now, message, hop):
         """The bound on transactions is reached: a request is turned away without one."""
@@ -258,8 +273,11 @@
         if name == "module":
             self.module_timer = None
             self.door.tell(io.Due(0))
+        elif name == "records":
+            self.record_timer = None
         elif name == "sweep":
             self.sweep_timer = self.timers.set(now + SWEEP_US, self, "sweep")
+            self.ledger.mark(now, self.wall_us())
             standing = self.standing
             while standing and (standing[0][1].state == "over" or standing[0][0] + self.longest_us <= now):
                 call = standing.popleft()[1]
@@ -296,10 +314,21 @@
                         call.reject(now, action.comeback_us)
                     else:
                         call.fail(now)
+        self.ledger.flush(now)
+        self._next_record(now)
         for index in self.freed:
             door.release(index)
         self.freed.clear()
 
+    def _next_record(self, now):
+        """One timer for what the records want next."""
+        at, timer = self.ledger.next_at(), self.record_timer
+        if timer is not None and (at is None or timer[0] > at or timer[0] <= now):
+            self.timers.cancel(timer)
+            self.record_timer = timer = None
+        if at is not None and timer is None:
+            self.record_timer = self.timers.set(max(at, now + 1), self, "records")
+
     def _named(self, text):
         """The module's 'server 2: ...' with the server's name for its index."""
         head, colon, rest = text.partition(":")
@@ -314,6 +343,8 @@
         method = message.method
         if method == "CANCEL":
             invite = self.layer.cancelled(message)
+            if invite is None:
+                self.ledger.cancelled(now, message.call_id, message.from_tag, now + self.wall_offset_us)
             if invite is None or invite.table is tx.table:
                 tx.respond(now, 481, self.token())
                 return
@@ -325,6 +356,7 @@
         if tag:
             owner = self.owners.get(tag[:16])
             if owner is None:
+                self.ledger.spoke(now, tag[:16], now + self.wall_offset_us)
                 tx.respond(now, 481)
             else:
                 owner.request(now, tag, tx, message)
@@ -342,13 +374,14 @@
     def _invite(self, now, tx, invite):
         """A new call: handed to the module, or refused for what it is."""
         self.count["offered"] += 1
+        self.ledger.repeated(now, invite.call_id, invite.from_tag, now + self.wall_offset_us)
         refused = refused_extensions(invite)
         if refused:
-            tx.respond(now, 420, self.token(), extra=[("Unsupported", ", ".join(refused))])
+            self._turn_away(now, tx, 420, "extension", [("Unsupported", ", ".join(refused))])
             return
         hops = hops_left(invite)
         if hops < 0:
-            tx.respond(now, 483, self.token())
+            self._turn_away(now, tx, 483, "too many hops")
             return
         try:
             broken = self.sorter.rules.broken
@@ -359,23 +392,33 @@
             if found is None:
                 self.count["no rule fits"] += 1
                 self.say("warning", "no rule fits the call", to=masked(invite.uri.partition("@")[0]))
-                tx.respond(now, 404, self.token())
+                self._turn_away(now, tx, 404, "no rule fits")
                 return
             token = self.token()
             call = Call(self, token, tx, found, hops)
         except SipError as fault:
-            tx.respond(now, fault.status, self.token(), extra=[("Warning", f"399 thorndale {_plain(fault)}")])
+            self._turn_away(now, tx, fault.status, "unreadable", [("Warning", f"399 thorndale {_plain(fault)}")])
             return
         if found.unknown_group:
             self.say("warning", "unknown trunk group in a call", call=token, group=found.unknown_group[:60])
         tx.respond(now, 100)
         self.owners[token] = call
+        if self.ledger.kept:
+            self.ledger.came(now, of_call(call, now))
         left = self.guards[found.call_type]
         expires = invite.get("expires")
         if expires.isascii() and expires.isdigit() and len(expires) < 8:
             left = min(left, int(expires) * 1_000_000)
         self.door.tell(io.Call(call.index, found.call_type, found.client, found.key, left, found.group, False, False))
 
+    def _turn_away(self, now, tx, status, how, extra=()):
+        """The final answer to an INVITE that became no call, its record first."""
+        if not self.ledger.kept:
+            tx.respond(now, status, self.token(), extra=extra)
+            return
+        record = of_refused(self, now, tx.message, status, how)
+        self.ledger.refused(now, record, lambda at: tx.respond(at, status, self.token(), extra=extra))
+
     def ack(self, now, message, hop):
         owner = self.owners.get(message.to_tag[:16])
         if isinstance(owner, Call):
@@ -419,7 +462,7 @@
             try:
                 if owner.state == "setting up":
                     owner.left(now, 503)
-                else:
+                elif owner.state == "standing":
                     owner.end(now, -1, "stopped")
             except Exception as fault:  # noqa: BLE001 - one call's fault must not keep the others from their end
                 self.say("error", "fault in the program", call=owner.id, fault=repr(fault))
@@ -429,9 +472,9 @@
 
     def finish(self):
         """Takes back the timers that run for ever: after it, whatever is left is a leak."""
-        for timer in (self.module_timer, self.sweep_timer):
+        for timer in (self.module_timer, self.sweep_timer, self.record_timer):
             self.timers.cancel(timer)
-        self.module_timer = self.sweep_timer = None
+        self.module_timer = self.sweep_timer = self.record_timer = None
 
     def left(self):
         """What is held, by name, for status and for the count at the end."""
--- a/thorndale/call/call.py
+++ b/thorndale/call/call.py
@@ -1,7 +1,9 @@
 """A call's life: set up as the module decides, standing, released.
 
     setting up --Stood--> standing --BYE, cut, no ACK--> releasing --all BYEs answered--> over
-    setting up --Reject, Fail, CANCEL, caller lost--> over
+    setting up --Reject, Fail, CANCEL, caller lost--> answering --its record is safe--> over
+
+What is decided while the caller's answer waits for its record is carried out behind it: no BYE goes before the 200.
 
 Leg 0 is the caller's, leg 1 the central server's. While it is set up at most one seizure is out; the module alone
 decides which and when.
@@ -9,6 +11,7 @@
 
 from thorndale import interface as io
 from thorndale.call import causes
+from thorndale.call.detail import BY, of_call
 from thorndale.call.passing import passed, plain_value
 from thorndale.call.relay import Answer, Relay
 from thorndale.call.reports import report_of
@@ -22,7 +25,8 @@
 class Call:
     __slots__ = ("border", "id", "index", "state", "tx", "number", "caller_uri", "body", "passed", "hops", "seizure",
                  "seizures", "legs", "answers", "relays", "refusal", "outcome", "byes", "server", "came", "owed",
-                 "stood_at", "kind", "wait_bye", "rule")
+                 "stood_at", "kind", "wait_bye", "rule", "rules", "client", "group", "caller", "priority", "told",
+                 "held")
 
     def __init__(self, border, token, tx, sorted_, hops):
         """`sorted_` is what the sorter found, `hops` the next leg's Max-Forwards. Raises SipError for an INVITE in
@@ -37,8 +41,11 @@
             named = {name.lower() for name, _ in sorted_.headers}
             self.passed = [pair for pair in self.passed if pair[0].lower() not in named]
             self.passed += [(name, plain_value(value)) for name, value in sorted_.headers]
-        self.rule = sorted_.rule
-        self.kind = sorted_.call_type
+        self.rule, self.rules = sorted_.rule, border.sorter.rules.digest
+        self.kind, self.client, self.group = sorted_.call_type, sorted_.client, sorted_.group
+        self.caller, self.priority = sorted_.caller, sorted_.priority_class
+        self.told = []  # (server, outcome, when sent, us it took) of each seizure that has ended, for the record
+        self.held = False  # decided, and the caller's final answer waits for its record
         self.state, self.seizure, self.seizures, self.server = "setting up", None, 0, -1
         self.legs = [Dialog.of_request(invite, f"{token}a", tx.hop), None]
         self.answers, self.relays = {}, {}  # (leg, CSeq): a 2xx that waits for its ACK; leg: its open re-INVITE
@@ -84,9 +91,19 @@
     def _answer(self, now, status, extra, how, reason=""):
         """The one final answer that is not a 200."""
         self.owed = False
-        self.tx.respond(now, status, f"{self.id}a", reason, extra)
+        by = "server" if self.refusal is not None and how == "released" else "proxy"
+        self._conclude(now, status, how, by, lambda: self.tx.respond(now, status, f"{self.id}a", reason, extra))
+
+    def _conclude(self, now, status, how, by, answer):
+        """Its record, then the answer."""
+        self.state = "answering"
         self.border.ended(self, how, status)
-        self._over()
+
+        def then(_):
+            answer()
+            self._over()
+
+        self.border.ledger.refused(now, self._record(now, how, by, status), then)
 
     def _told(self, now, outcome, final=False, wait_us=0, report=None):
         """The one end of the seizure, to the module."""
@@ -94,6 +111,7 @@
         seizure = self.seizure
         lag = seizure.lag(now) if seizure.sent_at else 0
         number, server = seizure.number, seizure.server
+        self.told.append((server, outcome, seizure.sent_at, lag))
         self.border.door.tell(io.Ended(self.index, number, server, outcome, wait_us, lag, final, report))
 
     # ---- being set up: what the seizure tells ----
@@ -124,10 +142,18 @@
         extra = passed(message, border.load_header)
         extra += [("Record-Route", value) for value in invite.all("record-route")]
         extra.append(("Contact", border.contact(self.tx.hop)))
-        self.tx.respond(now, message.status, f"{self.id}a", message.reason, extra, message.body)
-        self.answers[(CALLER, invite.cseq[0])] = Answer(border, now, self.tx, self._acked, self._unacked)
-        self.tx, self.passed, self.body = None, None, b""
+        self.told.append((seizure.server, io.COMPLETED, seizure.sent_at, seizure.lag(now)))
+        self.passed, self.body, self.held = None, b"", True
         border.stood(self)
+        border.ledger.begun(now, self._record(now), lambda at: self._let_stand(at, message, extra))
+
+    def _let_stand(self, now, message, extra):
+        """The caller's 200, its record being safe."""
+        tx, self.tx, self.held = self.tx, None, False
+        tx.respond(now, message.status, f"{self.id}a", message.reason, extra, message.body)
+        seq = tx.message.cseq[0] if tx.message is not None else self.legs[CALLER].remote_seq
+        self.answers[(CALLER, seq)] = Answer(self.border, now, tx, self._acked, self._unacked)
+        self._settle()
 
     def refused(self, now, seizure, message):
         self.refusal = message
@@ -151,15 +177,13 @@
         """CANCEL or an early BYE (status 487), or its connection is lost (0: nothing can be said)."""
         if self.state != "setting up":
             return
-        if status:
-            self.tx.respond(now, status, f"{self.id}a")
         self.owed = False
         self.border.door.tell(io.Left(self.index))
         if self.seizure is not None and self.seizure.state == "out":
             self.seizure.give_up(now)
             self._told(now, io.CANCELLED, True)
-        self.border.ended(self, "left", status)
-        self._over()
+        self._conclude(now, status, "left", "proxy" if status == 503 else "caller",
+                       lambda: status and self.tx.respond(now, status, f"{self.id}a"))
 
     # ---- standing ----
 
@@ -205,7 +229,7 @@
             elif self.state == "standing":
                 self.end(now, side, "released", message)
             return
-        if self.state == "setting up":
+        if self.state in ("setting up", "answering") or self.held:
             tx.respond(now, 491)
             return
         if self.state != "standing":
@@ -244,14 +268,16 @@
         if self.seizure is not None:  # the box waits for an ACK that will not come with a body any more
             self.seizure.ack(now, self.legs[BOX])
             self.seizure = None
-        waits = False
+        waits = self.held  # the 200 itself is still to go
         for key, answer in list(self.answers.items()):
             if by != CALLER and answer.on_none == self._unacked:
                 waits = by == BOX  # else it is for want of this very ACK that the call ends
             else:
                 answer.stop()
                 del self.answers[key]
-        self.border.ended(self, how if outcome == io.COMPLETED else "cut", 0)
+        how = how if outcome == io.COMPLETED else "cut"
+        self.border.ended(self, how, 0)
+        self.border.ledger.ended(now, self._record(now, how, BY[by], 200))
         for side in (CALLER, BOX):
             if side != by:
                 if side == CALLER and waits:
@@ -288,7 +314,7 @@
         self._settle()
 
     def _settle(self):
-        if self.state == "releasing" and not self.byes and not self.wait_bye:
+        if self.state == "releasing" and not self.byes and not self.wait_bye and not self.held:
             self._over()
 
     def box_lost(self, now):
@@ -303,6 +329,9 @@
         self.seizure = self.refusal = None
         self.border.forget(self)
 
+    def _record(self, *end):
+        return of_call(self, *end) if self.border.ledger.kept else None
+
     def describe(self):
         """Fields for a log line."""
         names = self.border.server_names
--- a/thorndale/config/settings.py
+++ b/thorndale/config/settings.py
@@ -117,6 +117,25 @@
     file: str = ""
 
 
+class Records(Struct, forbid_unknown_fields=True, frozen=True):
+    """Call records: a folder of this proxy's own. `answer` is the order of a final answer and its record (see
+    docs/records.md), `on_trouble` what a full or failing disk does: refuse new calls, or lose records, counted.
+    `queue` in frames; `segment_bytes` and `segment_s` are when a segment is sealed; `keep_days` 0 keeps all;
+    `hash_key_file` holds a key with which callers' numbers are hashed instead of kept."""
+
+    folder: str
+    answer: Annotated[str, Meta(pattern="^(written|synced|intent|after)$")] = "written"
+    on_trouble: Annotated[str, Meta(pattern="^(refuse|lose)$")] = "refuse"
+    queue: Count = 20_000
+    wait_ms: MsOver0 = 200
+    slow_ms: MsOver0 = 500
+    commit_ms: MsOver0 = 5
+    segment_bytes: Annotated[int, Meta(ge=4096, le=1 << 30)] = 64 << 20
+    segment_s: Count = 3_600
+    keep_days: Annotated[int, Meta(ge=0, le=36_500)] = 0
+    hash_key_file: str = ""
+
+
 class Settings(Struct, forbid_unknown_fields=True, frozen=True):
     listen: Annotated[list[str], Meta(min_length=1)]
     trunk_groups: Annotated[list[TrunkGroup], Meta(min_length=1)]
@@ -129,6 +148,7 @@
     over_quota_part: Share = 1.0
     load_header: str = "X-Load"
     book: Book | None = None
+    records: Records | None = None
     rules: Rules = Rules()
     comeback: Comeback = Comeback()
     limits: Limits = Limits()
--- a/thorndale/daemon/run.py
+++ b/thorndale/daemon/run.py
@@ -15,6 +15,8 @@
 from thorndale.daemon import keep
 from thorndale.daemon.log import open_log
 from thorndale.net.ends import Ends, now_us
+from thorndale.records.hide import hider
+from thorndale.records.store import StoreError, open_store
 
 LOOK_S = 0.05  # between two looks whether the last call has ended, once it is told to stop
 COLLECT_US = 60_000_000  # us between two collections of cycles at least
@@ -43,8 +45,24 @@
     copy = settings.book.file if settings.book else ""
     keeper = keep.Keeper(loop, copy, say)
     seed = secrets.randbits(64)
-    border = Border(settings, rules, seed, listeners, ends.send, say, keeper.keep, time.time_ns() // 1000 - now_us())
+    offset = time.time_ns() // 1000 - now_us()
+    try:
+        store, hide = _records(settings, loop, say, offset)
+    except StartError:
+        await ends.close()
+        await keeper.close()
+        close_log()
+        raise
+    border = Border(settings, rules, seed, listeners, ends.send, say, keeper.keep, offset,
+                    store.ledger if store else None, hide)
+    border.wall_us = lambda: time.time_ns() // 1000
     ends.core = border
+    if store:
+        def clock():
+            border.now = now_us()
+            return border.now
+
+        store.attach(clock, ends.batch)
     loop.set_exception_handler(lambda _, context: say("error", "fault in the program", fault=repr(
         context.get("exception") or context.get("message")), where=repr(context.get("handle", ""))))
     try:
@@ -52,6 +70,8 @@
     except OSError as fault:
         await ends.close()
         await keeper.close()
+        if store:
+            await store.close()
         close_log()
         raise StartError(f"{fault.filename} cannot be opened: {fault.strerror}; is another program there?") from None
     told = asyncio.Event()
@@ -72,6 +92,8 @@
         for task in (heart, reloader):
             task.cancel()
         await asyncio.gather(heart, reloader, return_exceptions=True)
+        if store:
+            await store.close()
         border.finish()
         left = border.left()
         await ends.close()
@@ -81,10 +103,27 @@
         tasks = len(asyncio.all_tasks()) - 1
         say("info", "stopped", left=left, tasks=tasks, descriptors=descriptors() - before, counts=dict(border.count),
             book=border.book.told if border.book else {}, tcp=ends.tcp.count,
-            dropped=sum(u.dropped for u in ends.udp), refused_early=border.press.refused)
+            dropped=sum(u.dropped for u in ends.udp), refused_early=border.press.refused,
+            records=border.ledger.counts())
         close_log()
 
 
+def _records(settings, loop, say, offset):
+    """(Store, hide) by the settings; (None, str) where no records are kept. Raises StartError."""
+    if settings.records is None:
+        return None, str
+    hide = str
+    try:
+        if settings.records.hash_key_file:
+            with open(settings.records.hash_key_file, "rb") as file:
+                hide = hider(file.read().strip())
+        return open_store(settings.records, settings.name, loop, say, now_us(), offset), hide
+    except (OSError, ValueError) as fault:
+        raise StartError(f"records.hash_key_file: {settings.records.hash_key_file}: {fault}") from None
+    except StoreError as fault:
+        raise StartError(str(fault)) from None
+
+
 async def _heart(border):
     """Looks at the loop's lag: what a fixed wait takes longer than it should.
 
--- a/thorndale/match/rules.py
+++ b/thorndale/match/rules.py
@@ -19,7 +19,7 @@
 
 from typing import NamedTuple
 
-from xxhash import xxh64_intdigest
+from xxhash import xxh64_hexdigest, xxh64_intdigest
 
 from thorndale.match import parse
 from thorndale.match.check import STEPS_MOST, Checker, Scope, Table
@@ -85,7 +85,9 @@
 def load(source, names=ANYTHING, name="rules", steps_most=STEPS_MOST, read=no_files):
     """A RuleSet. `read(path, columns)` gives the rows of a file, each that many texts, and raises an exception whose
     text says what is wrong with it. Raises MatchError with every fault of the text."""
-    return RuleSet(*_checked(parse.read(source, "start", name), source, names, name, steps_most, read))
+    found = RuleSet(*_checked(parse.read(source, "start", name), source, names, name, steps_most, read))
+    found.digest = xxh64_hexdigest(source.encode("utf-8", "surrogateescape"))
+    return found
 
 
 def _checked(tree, source, names, name, steps_most, read=no_files):
@@ -269,6 +271,7 @@
 
     def __init__(self, rules, default, scope, name="rules"):
         self.rules, self.default, self.scope, self.name = rules, default, scope, name
+        self.digest = ""  # of the text that it was made of, where there was one
         self.broken = 0  # evaluations that failed all the same: the checker has a fault
         self.last_fault = ""
         compiler = Compiler(scope, [t for rule in [*rules, *([default] if default else [])] for t in rule.trees()])
