--- a/thorndale/records/chain.py
+++ b/thorndale/records/chain.py
@@ -65,13 +65,16 @@
     def __init__(self):
         self.findings, self.records, self.frames, self.segments, self.bytes, self.newer = [], 0, 0, 0, 0, 0
         self.last_number, self.digest, self.last_seq, self.chain = None, None, None, None
+        self.erasures = 0
         self.open_tail = ""  # the last segment, if it has no seal yet
-        self.given_up = []
 
     def erased(self, tomb):
         """A segment that was erased properly stands in the chain by its tombstone."""
         self._number(s.name_of(tomb.number), tomb.number)
-        self.digest, self.last_seq = tomb.digest, None
+        self.erasures += 1
+        self.chain = self.chain or tomb.chain
+        if tomb.digest:
+            self.digest, self.last_seq = tomb.digest, tomb.last_seq
 
     def _number(self, name, number):
         if self.last_number is not None:
@@ -119,3 +122,20 @@
             self.open_tail, self.digest = "", read.seal.digest
         else:
             self.open_tail = name
+
+
+def verify(segments, tombs=()):
+    """A Check over (name, bytes) pairs and the Tombs of what was erased, in order."""
+    check = Check()
+    there = {}
+    for tomb in tombs:
+        there[tomb.number] = tomb
+    for link in links(segments):
+        number = s.number_of(link.name)
+        for erased in sorted(n for n in there if n < number):
+            check.erased(there.pop(erased))
+        there.pop(number, None)  # a kill between its tombstone and its end: it still speaks for itself
+        check.link(link)
+    for erased in sorted(there):
+        check.erased(there[erased])
+    return check
--- a/thorndale/records/folder.py
+++ b/thorndale/records/folder.py
@@ -7,6 +7,7 @@
 from thorndale.records.record import MAJOR, Tomb, Word, decode, encode
 
 WORDS, TOMBS = "words-proxy.rec", "tombs.rec"
+KEEP_LAST = 2  # segments that are never erased: recovery and the chain's end need them
 
 
 def perform(files, op):
@@ -47,10 +48,7 @@
         return r.head_of(files.read(s.name_of(number)))
 
     def sealed(number):
-        last = None
-        for item in f.scan(files.read(s.name_of(number))):
-            last = item
-        return isinstance(last, f.Frame) and last.kind == f.SEAL
+        return s.seal_of(files.read(s.name_of(number))) is not None
 
     there = numbers(files)
     plan = r.plan(segments(files, r.needed(there, head, sealed)))
@@ -91,7 +89,12 @@
 
 
 def add_word(files, name, seq, word):
-    """Adds to a file of words; a tail that an earlier fault left torn is cut first. Raises OSError."""
+    """Adds to a file of words. Raises OSError."""
+    _add(files, name, seq, f.WORD, encode(word))
+
+
+def _add(files, name, seq, kind, body):
+    """Adds a frame to a small file of its own; a tail that an earlier fault left torn is cut first."""
     if name not in files.names():
         files.create(name)
     else:
@@ -101,7 +104,7 @@
                 end = item.end
         if end != files.size(name):
             files.cut(name, end)
-    files.append(name, f.pack(f.WORD, seq, encode(word)))
+    files.append(name, f.pack(kind, seq, body))
     files.sync(name)
     files.sync_folder()
 
@@ -124,3 +127,24 @@
         for item in f.scan(files.read(TOMBS)):
             if isinstance(item, f.Frame) and item.kind == f.TOMB and item.major == MAJOR:
                 yield decode(Tomb, item.body)
+
+
+def erase(files, now_wall_us, keep_us):
+    """Erases what is past its age, oldest first; gives the Tombs written. Raises OSError.
+
+    The tombstone is on the disk before its segment goes: killed in between, the next run finds both and goes on.
+    """
+    there, written = numbers(files), []
+    done = {tomb.number for tomb in tombs(files)}
+    for number, after in zip(there[:-KEEP_LAST], there[1:], strict=False):
+        data = files.read(s.name_of(number))
+        tomb = r.tomb_of(number, data, files.read(s.name_of(after)), now_wall_us, keep_us)
+        if tomb is None:
+            break
+        if number not in done:
+            _add(files, TOMBS, number, f.TOMB, encode(tomb))
+            written.append(tomb)
+        files.remove(s.name_of(number))
+    if written:
+        files.sync_folder()
+    return written
--- a/thorndale/records/recover.py
+++ b/thorndale/records/recover.py
@@ -13,7 +13,7 @@
 from thorndale.records import frame as f
 from thorndale.records import segment as s
 from thorndale.records.fold import OVER, Fold
-from thorndale.records.record import DOUBT, Opening, Record, decode, encode
+from thorndale.records.record import DOUBT, Opening, Record, Tomb, decode, encode
 
 
 class Step(NamedTuple):
@@ -193,3 +193,20 @@
         body.size += len(data)
         body.frames += 1
         body.last_seq = f.read(data, 0).seq
+
+
+def tomb_of(number, data, following, now_wall_us, keep_us):
+    """The Tomb for a segment whose last record is older than `keep_us`, or None where it has to stay. `following` are
+    the bytes of the next one: one without a seal goes only if that one says that it was given up. A clock that stands
+    before the records erases nothing."""
+    opening, _ = head_of(data)
+    seal, after = s.seal_of(data), head_of(following)[0]
+    if opening is None or after is None or seal is None and number not in after.abandoned:
+        return None
+    last_wall = seal.last_wall_us if seal is not None else 0
+    if now_wall_us - (last_wall or after.opened_us + after.anchor_us) <= keep_us:
+        return None
+    if seal is None:
+        return Tomb(opening.proxy, opening.chain, number, "", len(data), 0, -1, 0, now_wall_us)
+    return Tomb(opening.proxy, opening.chain, number, seal.digest, len(data), seal.records, seal.last_seq, last_wall,
+                now_wall_us)
--- a/thorndale/records/segment.py
+++ b/thorndale/records/segment.py
@@ -141,3 +141,16 @@
     pairs, wanted = array("Q"), call_hash(call)
     pairs.frombytes(index)
     return [pairs[n + 1] for n in range(0, len(pairs), 2) if pairs[n] == wanted]
+
+
+def seal_of(data):
+    """The Seal at the end of a segment's bytes, or None; the frames before it are not read."""
+    at = len(data)
+    while (at := data.rfind(f.MARKER + bytes([f.SEAL]), 0, at)) >= 0:
+        found = f.read(data, at)
+        if isinstance(found, f.Frame) and found.end == len(data):
+            try:
+                return decode(Seal, found.body)
+            except ValueError:
+                return None
+    return None
--- a/thorndale/records/store.py
+++ b/thorndale/records/store.py
@@ -15,6 +15,8 @@
 from thorndale.records.journal import Journal, Limits
 from thorndale.records.ledger import Ledger
 
+DAY_US = 86_400_000_000
+ERASE_S = 3600.0  # s between two looks for what is past its age: ages are told in days
 CLOSE_S = 10.0  # s that a stop waits for the disk at most
 
 
@@ -61,7 +63,7 @@
         self.syncer = ThreadPoolExecutor(1, thread_name_prefix="records-sync")
         self.ledger = Ledger(journal, settings.answer, settings.wait_ms * 1000, self.begin, self.write_word, say,
                              unsure, now)
-        self.clock, self.after, self.ending = None, None, False
+        self.clock, self.after, self.ending, self.erasing = None, None, False, None
 
     def attach(self, clock, after):
         """`clock()` gives the loop's time in us; `after()` is called when results may have let something out: it
@@ -83,6 +85,8 @@
     async def close(self):
         """Writes what waits, seals, and lets go of the folder; a disk that does not answer holds a stop up only for
         a while, and what was not written is said."""
+        if self.erasing is not None:
+            self.erasing.cancel()
         self.journal.close()
         end = time.monotonic() + CLOSE_S
         while not self.journal.closed and time.monotonic() < end:
@@ -100,8 +104,21 @@
             self.writer.shutdown(wait=False, cancel_futures=True)
             self.syncer.shutdown(wait=False, cancel_futures=True)
 
+    def start_retention(self, keep_days, wall_us):
+        """Erases now and each hour what is past its age, in the writing thread: a segment is read whole for it."""
+        if keep_days:
+            self.writer.submit(self._erase, wall_us(), keep_days * DAY_US)
+            self.erasing = self.loop.call_later(ERASE_S, self.start_retention, keep_days, wall_us)
+
     # ---- in the threads ----
 
+    def _erase(self, wall_us, keep_us):
+        try:
+            for tomb in fo.erase(self.files, wall_us, keep_us):
+                self.say("info", "records erased", segment=tomb.number, records=tomb.records)
+        except OSError as error:
+            self.say("error", "records not erased", reason=str(error))
+
     def _do(self, op):
         fault = ""
         try:
--- a/thorndale/standins/script.py
+++ b/thorndale/standins/script.py
@@ -61,6 +61,7 @@
     fall_multiple: float = 2.0
     fall_ms: int = 1500
     t1_ms: int = 500
+    records: str = ""  # how answers and records are ordered; '' keeps none
     faults: list[Fault] = []
 
 
@@ -116,7 +117,10 @@
 def settings_of(day, number, port, boxes, book_uri, folder):
     """The settings file of one proxy of the day, as a map."""
     groups = list(dict.fromkeys(b.trunk_group for b in day.boxes))
+    records = {"records": {"folder": f"{folder}/proxy{number + 1}.records", "answer": day.records,
+                           "segment_bytes": 1 << 20}} if day.records else {}
     return {
+        **records,
         "name": f"proxy{number + 1}",
         "instances": day.proxies,
         "listen": [f"udp:127.0.0.1:{port}", f"tcp:127.0.0.1:{port}"],
