--- a/thorndale/standins/day.py
+++ b/thorndale/standins/day.py
@@ -73,6 +73,7 @@
         self.rate_factor, self.only = 1.0, []
         self.tasks, self.faults = [], []
         self.wrong_type, self.editions, self.edition = 0, Counter(), 1
+        self.observer = None  # (now, place, way, bytes) of every message at the stand-ins, beside the auditor
 
     # ---- what callers report ----
 
@@ -95,6 +96,10 @@
         self.editions[edition] += 1
         self.wrong_type += not any(t.name == name and number.startswith(t.prefix) for t in self.day.types)
 
+    def _both(self, *seen):
+        self.auditor.saw(*seen)
+        self.observer(*seen)
+
     # ---- the parts ----
 
     async def play(self):
@@ -111,7 +116,7 @@
                  "fall_us": day.fall_ms * 1000}
         boxes = {n: (w.setup_us, w.cold_from, w.warm_us) for n, w in work.items()}
         self.auditor = Auditor(rules, boxes)
-        saw = self.auditor.saw
+        saw = self._both if self.observer else self.auditor.saw
         self.book = PoolBook(loop, limits, free_port(taken), int(day.notice_s * 1e6), self.chance, saw, times)
         self.boxes = {b.name: Box(loop, limits, b.name, b.transport, free_port(taken), work[b.name], b.lines,
                                   self.chance, saw, times) for b in day.boxes}
