--- /dev/null
+++ b/tests/records/test_chain.py
@@ -0,0 +1,154 @@
+"""Verification names the place: every single bit, a missing segment, a swapped pair, a copy cut in half."""
+
+import pytest
+from records.disk import Disk
+from records.proxy import Recorder, all_lines
+from records.test_store import small_run, verify
+
+from thorndale.records import folder as fo
+from thorndale.records import frame as f
+from thorndale.records import segment as s
+from thorndale.records.read import distinct, lines, source
+from thorndale.records.record import Record, decode, encode
+from thorndale.records.settle import Stops, words
+
+
+@pytest.fixture
+def disk():
+    disk = Disk()
+    recorder = small_run(disk)
+    recorder.work()
+    recorder.close()
+    Recorder(disk, "b2").close()
+    assert not verify(disk).findings and len(fo.numbers(disk)) >= 4
+    return disk
+
+
+def test_every_flipped_bit_of_a_sealed_segment_is_found_at_its_place(disk):
+    for name, bits in ((s.name_of(1), range(8)), (s.name_of(fo.numbers(disk)[-1]), (3,))):
+        held = disk.there[name].data
+        for at in range(len(held)):
+            for bit in bits:
+                held[at] ^= 1 << bit
+                found = verify(disk).findings
+                assert any(x.name == name and x.at <= at < x.end for x in found), (name, at, bit, found)
+                held[at] ^= 1 << bit
+
+
+def test_a_changed_byte_with_its_checksum_mended_still_shows(disk):
+    name = s.name_of(2)
+    held = disk.there[name]
+    item = next(x for x in f.scan(bytes(held.data)) if isinstance(x, f.Frame) and x.kind == f.WHOLE)
+    record = decode(Record, item.body)
+    record.status = 499
+    held.data[item.at:item.end] = f.pack(item.kind, item.seq, encode(record))
+    found = verify(disk).findings
+    assert [x.name for x in found] == [name] and "not those that were sealed" in found[0].what
+
+
+def test_a_missing_segment_and_a_swapped_pair(disk):
+    gone = disk.there.pop(s.name_of(2))
+    assert [str(x) for x in verify(disk).findings] == [f"{s.name_of(2)}: is missing"]
+    disk.there[s.name_of(2)] = gone
+    one, two = s.name_of(2), s.name_of(3)
+    disk.there[one], disk.there[two] = disk.there[two], disk.there[one]
+    found = verify(disk).findings
+    assert {x.name for x in found if "by its opening" in x.what} == {one, two}
+
+
+def test_a_segment_copied_in_half(disk):
+    held = disk.there[s.name_of(2)]
+    whole = bytes(held.data)
+    for size in (0, 10, len(whole) // 2, len(whole) - 1):
+        held.data = bytearray(whole[:size])
+        assert any(x.name == s.name_of(2) for x in verify(disk).findings), size
+    held.data = bytearray(whole)
+
+
+def test_erased_segments_stand_by_their_tombstones(disk):
+    before = [line.record.call for line in all_lines(disk)]
+    wall = max(line.record.wall_us(line.record.ended_us) for line in all_lines(disk))
+    assert fo.erase(disk, wall, 1 << 50) == []
+    written = fo.erase(disk, wall + (1 << 51), 1 << 50)
+    assert len(written) >= 2
+    assert fo.numbers(disk)[0] == len(written) + 1
+    found = verify(disk)
+    assert not found.findings and found.erasures == len(written)
+    after = [line.record.call for line in all_lines(disk)]
+    assert after and before[-len(after):] == after
+    disk.there.pop(fo.TOMBS)
+    assert any("is missing" in x.what for x in verify(disk).findings)
+
+
+def test_a_newer_major_version_is_kept_counted_and_not_guessed_at(disk):
+    disk.there.clear()
+    recorder = Recorder(disk, "b1")
+    recorder.refused("one")
+    recorder.work()
+    seq = recorder.journal.next_seq
+    disk.append(s.name_of(1), f.pack(f.WHOLE, seq, b"\x93new", major=2))
+    after = Recorder(disk.after_kill(), "b2")
+    after.refused("two")
+    after.work()
+    after.close()
+    from collections import Counter
+    count = Counter()
+    assert [line.record.call for line in lines(disk, count)] == ["one", "two"]
+    assert count["newer"] == 1 and not verify(disk).findings and verify(disk).newer == 1
+
+
+def test_an_older_reader_skips_and_a_newer_one_fills():
+    import msgspec
+    row = msgspec.msgpack.decode(encode(Record("c", status=200)))
+    assert decode(Record, msgspec.msgpack.encode([*row, "a field of tomorrow"])).status == 200
+    assert decode(Record, msgspec.msgpack.encode(row[:5])).how == ""
+
+
+def test_a_damaged_frame_in_the_middle_is_isolated_and_the_rest_is_read():
+    disk = Disk()
+    recorder = Recorder(disk, "b1")
+    for n in range(4):
+        recorder.refused(f"c{n}")
+    recorder.work()
+    held = disk.there[s.name_of(1)].data
+    item = [x for x in f.scan(bytes(held)) if isinstance(x, f.Frame) and x.kind == f.WHOLE][1]
+    held[item.at + 40] ^= 1
+    after = Recorder(disk.after_kill(), "b2")
+    assert [(x.at, x.end) for x in after.plan.findings] == [(item.at, item.end)]
+    assert [line.record.call for line in all_lines(disk)] == ["c0", "c2", "c3"]
+    after.close()
+    again = Recorder(disk, "b3")
+    assert not again.plan.findings
+
+
+def test_a_copy_of_a_folder_is_told_from_a_call_met_by_two_proxies(disk):
+    copy = Disk()
+    for name in list(disk.names())[:3]:
+        copy.there[name] = disk.there[name]
+    kept, copies = distinct([source("copy", copy), source("whole", disk)])
+    assert [x.name for x in kept] == ["whole"] and copies == [("copy", "whole")]
+
+    one, two = Disk(), Disk()
+    first = Recorder(one, "b1")
+    first.begin("x")
+    first.work(1)
+    first.work(1, only="write")
+    second = Recorder(two, "b2")
+    second.journal.chain, second.journal.proxy = "d" * 16, "p2"
+    second.begin("x")
+    second.work()
+    second.end("x")
+    second.work()
+    second.close()
+    Recorder(one.after_kill(), "b3").close()
+    stops = Stops()
+    rows = [line for d in (one, two) for line in all_lines(d)]
+    for line in rows:
+        stops.see(line)
+    meetings = list(stops.meetings(rows))
+    assert [(m.what, m.first[0], m.second[0]) for m in meetings] == [("met twice", "p1", "p2")]
+    if stops.doubts:
+        found, odd = words(stops.doubts, meetings, set(), {"nobody@x"}, 1)
+        assert [w.word for w in found.values()] == ["withdrawn"] and odd == ["nobody@x"]
+        with pytest.raises(ValueError, match="both lists"):
+            words(stops.doubts, meetings, {"x@x"}, {"x"}, 1)
--- a/tests/records/test_store.py
+++ b/tests/records/test_store.py
@@ -8,16 +8,13 @@
 from records.proxy import LIMITS, Recorder, all_lines, calls
 
 from thorndale.records import folder as fo
-from thorndale.records.chain import Check, links
+from thorndale.records.chain import verify as look
 from thorndale.records.fold import STOPPED
 from thorndale.standins.day import draw
 
 
 def verify(disk):
-    check = Check()
-    for link in links(fo.segments(disk)):
-        check.link(link)
-    return check
+    return look(fo.segments(disk), fo.tombs(disk))
 
 
 def small_run(disk, boot="b1", way="written", say=None):
