--- a/bench/calls.py
+++ b/bench/calls.py
@@ -26,7 +26,7 @@
     return subprocess.Popen([sys.executable, "-m", "bench.ends", *map(str, args)], stdout=subprocess.PIPE, text=True, **more)
 
 
-def settings(folder, port, box_port, transport, seizures):
+def settings(folder, port, box_port, transport, seizures, records=""):
     tail = ";transport=tcp" if transport == "tcp" else ""
     path = f"{folder}/proxy{port}.json5"
     with open(path, "w", encoding="utf-8") as file:
@@ -37,6 +37,7 @@
                             "hold_ms": 10_000}],
             "matching": {"text": "default { type timetable }"},
             "limits": {"seizures": seizures, "open_calls": 100_000, "lag_ms": 0, "transactions": 1_000_000},
+            **({"records": {"folder": f"{folder}/records{port}", "answer": records}} if records else {}),
             "stop": {"calls_ms": 100, "quit_ms": 100}, "log": {"level": "warning", "file": f"{folder}/log"}}, file)
     return path
 
@@ -64,7 +65,7 @@
         return next(int(line.split()[1]) * 1024 for line in file if line.startswith("VmRSS"))
 
 
-def one(way, rate, seconds, folder, taken):
+def one(way, rate, seconds, folder, taken, records=""):
     """One rate by one way: what the caller saw, and the CPU of what stood between, per call in us."""
     transport = "tcp" if way == "proxy tcp" else "udp"
     box_port, port = free_port(taken), free_port(taken)
@@ -76,7 +77,8 @@
         middle = spawn("relay", port, box_port)
         middle.stdout.readline()
     elif way != "direct":
-        middle = start_proxy(settings(folder, port, box_port, transport, 1 if way.endswith("off") else 5), port)
+        middle = start_proxy(settings(folder, port, box_port, transport, 1 if way.endswith("off") else 5, records),
+                             port)
     try:
         before = cpu(middle.pid) if middle else 0
         caller = spawn("caller", transport, port if middle else box_port, rate, int(rate * seconds), "end", "x")
