--- a/thorndale/records/journal.py
+++ b/thorndale/records/journal.py
@@ -117,6 +117,10 @@
 
     # ---- out: the difference between what is wanted and what is under way ----
 
+    def due(self, now):
+        """Whether what waits is to be written now rather than with what comes next."""
+        return self.urgent or self.closing or now >= self.written_us + self.limits.commit_us
+
     def want(self, now):
         ops = []
         if self.writing is None and now >= self.retry_at:
@@ -174,7 +178,7 @@
             if self.unsynced or self.syncing is not None:
                 return None
             return Op("seal", self.number, s.seal_bytes(self.body, 0))
-        if not self.queue or not (self.urgent or self.closing or now >= self.written_us + self.limits.commit_us):
+        if not self.queue or not self.due(now):
             return None
         entries, size = [], 0
         for entry in self.queue:
--- a/thorndale/records/ledger.py
+++ b/thorndale/records/ledger.py
@@ -156,6 +156,7 @@
     def mark(self, now, wall_us):
         """Each second or so: the last time known, should this process be killed."""
         self.journal.put(now, f.MARK, encode(Mark(now, wall_us, self.journal.lost)))
+        self._alarms(now)
         if self.unsure and now >= self.forget_at:
             self.unsure.clear()
             self.legs.clear()
@@ -164,16 +165,21 @@
         """The result of an operation; answers that waited for it go out."""
         self.journal.done(now, op, fault)
         self._release(now)
+        if fault or self.alarm:
+            self._alarms(now)
 
     def flush(self, now):
-        """After each batch of work: begins what the disk should do now."""
-        if self.sent_calls:
+        """After each batch of work: begins what the disk should do now. Called some times for each call, so what
+        there is nothing for is passed over."""
+        journal = self.journal
+        if self.sent_calls and journal.writing is None and journal.due(now):
             calls, self.sent_calls = self.sent_calls, []
-            self.journal.sent(now, calls)
-        self._release(now)
-        for op in self.journal.want(now):
-            self.perform(op)
-        self._alarms(now)
+            journal.sent(now, calls)
+        if self.waiting:
+            self._release(now)
+        if journal.queue or journal.unsynced or journal.body is None or journal.closing or journal.trouble:
+            for op in journal.want(now):
+                self.perform(op)
 
     def _release(self, now):
         safe, waiting = self._safe(), self.waiting
@@ -193,9 +199,12 @@
 
     def next_at(self):
         """When `flush` should be called if nothing happens before, or None."""
-        times = [t for t in (self.journal.next_at(), self.deadlines[0][0] if self.deadlines else None)
-                 if t is not None]
-        return min(times) if times else None
+        at = self.journal.next_at()
+        if self.deadlines and (at is None or self.deadlines[0][0] < at):
+            at = self.deadlines[0][0]
+        if self.sent_calls and at is None:
+            at = self.journal.written_us + self.journal.limits.commit_us
+        return at
 
     def _alarms(self, now):
         journal = self.journal
