--- a/thorndale/records/journal.py
+++ b/thorndale/records/journal.py
@@ -141,7 +141,7 @@
         if self.trouble:
             return self.retry_at if self.writing is None else None
         times = []
-        if self.queue and self.writing is None:
+        if self.queue and self.writing is None and self.syncing is None:  # else that one's end asks again
             times.append(self.written_us + self.limits.commit_us)
         if self.unsynced and self.syncing is None:
             times.append(self.synced_us + self.limits.commit_us)
--- a/thorndale/records/ledger.py
+++ b/thorndale/records/ledger.py
@@ -202,7 +202,7 @@
         at = self.journal.next_at()
         if self.deadlines and (at is None or self.deadlines[0][0] < at):
             at = self.deadlines[0][0]
-        if self.sent_calls and at is None:
+        if self.sent_calls and at is None and self.journal.writing is None:
             at = self.journal.written_us + self.journal.limits.commit_us
         return at
 
