The disk's hand is a process of its own

A child process takes the operations over a socket pair and outlives a killed proxy until it has done what was sent; a start waits for it at the folder's lock.

--- a/tests/records/disk.py
+++ b/tests/records/disk.py
@@ -48,7 +48,7 @@
     def size(self, name):
         return len(self.there[name].data)
 
-    def lock(self):
+    def lock(self, wait_s=0.0):
         if self.locked:
             raise Locked("in use")
         self.locked = True
--- a/thorndale/records/files.py
+++ b/thorndale/records/files.py
@@ -1,8 +1,8 @@
 """The folder of a proxy's records as files: plain operations that fail with OSError and never half in silence."""
 
-import contextlib
 import fcntl
 import os
+import time
 
 LOCK = "lock"
 
@@ -30,17 +30,22 @@
     def size(self, name):
         return os.stat(self.path(name)).st_size
 
-    def lock(self):
-        """For as long as this process lives. Raises Locked; the kernel frees it however the process ends."""
+    def lock(self, wait_s=0.0):
+        """For as long as this process, or a child that has the descriptor, lives; the kernel frees it however they
+        end. Raises Locked where another has it for `wait_s`."""
         fd = os.open(self.path(LOCK), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        try:
-            fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            with contextlib.suppress(OSError):
-                who = os.pread(fd, 20, 0).decode("ascii", "replace").strip()
+        end = time.monotonic() + wait_s
+        while True:
+            try:
+                fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                break
+            except OSError:
+                if time.monotonic() < end:
+                    time.sleep(0.01)
+                    continue
+            who = os.pread(fd, 20, 0).decode("ascii", "replace").strip()
             os.close(fd)
-            raise Locked(f"{self.folder} is in use by process {who or '?'}; give each proxy a folder of its own") \
-                from None
+            raise Locked(f"{self.folder} is in use by process {who or '?'}; give each proxy a folder of its own")
         os.ftruncate(fd, 0)
         os.pwrite(fd, f"{os.getpid()}\n".encode(), 0)
         self.lock_fd = fd
--- a/thorndale/records/store.py
+++ b/thorndale/records/store.py
@@ -1,26 +1,25 @@
-"""The records of a running proxy: recovery before it starts, two threads that do the disk's work, the loop in between.
+"""The records of a running proxy: recovery before it starts, then the journal on the loop and its hand on the disk.
 
-The loop is never held up: operations go to the threads and their results come back by `call_soon_threadsafe`. One
-thread writes, the other syncs, so that a write needs not wait for a sync under way.
+The loop is never held up: operations go to the hand's process and their results come back by a socket. It writes in
+one thread and syncs in another, so that a write needs not wait for a sync under way.
 """
 
 import asyncio
 import os
 import secrets
-import sys
-import threading
 import time
-from queue import SimpleQueue
 
 from thorndale.records import folder as fo
 from thorndale.records.files import Files, Locked
+from thorndale.records.hand import Hand
 from thorndale.records.journal import Journal, Limits
 from thorndale.records.ledger import Ledger
 
 DAY_US = 86_400_000_000
 ERASE_S = 3600.0  # s between two looks for what is past its age: ages are told in days
-SWITCH_S = 0.0005  # s after which a thread that waits for the interpreter gets it: with Python's 5 ms each answer
-# waits that long for the writing thread's turn while the loop is busy
+LOCK_S = 3.0  # s that a start waits for the hand of a proxy that was killed just before
+AGAIN_S = 0.2  # s before another hand is begun: one that is killed at once again must not take the loop's time
+GONE = "the process that writes has ended"
 CLOSE_S = 10.0  # s that a stop waits for the disk at most
 
 
@@ -34,7 +33,7 @@
         if files is None:
             os.makedirs(settings.folder, mode=0o700, exist_ok=True)
             files = Files(settings.folder)
-        files.lock()
+        files.lock(LOCK_S)
         plan = fo.recovery(files)
         if plan.proxy and plan.proxy != proxy:
             files.close()
@@ -60,61 +59,79 @@
     return Store(files, journal, settings, loop, say, plan.unsure, now)
 
 
-class Hand:
-    """A thread that does what it is given, one after another. An executor's futures cost more than the writes."""
-
-    def __init__(self, name):
-        self.queue = SimpleQueue()
-        self.thread = threading.Thread(target=self._run, name=name, daemon=True)
-        self.thread.start()
-
-    def submit(self, act, *args):
-        self.queue.put((act, args))
-
-    def _run(self):
-        while True:
-            act, args = self.queue.get()
-            if act is None:
-                return
-            act(*args)
-
-    def shutdown(self, wait):
-        self.queue.put((None, ()))
-        if wait:
-            self.thread.join()
-
-
 class Store:
     def __init__(self, files, journal, settings, loop, say, unsure, now):
         self.files, self.journal, self.loop, self.say = files, journal, loop, say
-        sys.setswitchinterval(SWITCH_S)
-        self.writer, self.syncer = Hand("records-write"), Hand("records-sync")
+        self.out = {}  # serial number of work that is with the hand: (what it is, its arguments)
+        self.hand = Hand(loop, files, self._done, self._lost)
         self.ledger = Ledger(journal, settings.answer, settings.wait_ms * 1000, self.begin, self.write_word, say,
                              unsure, now)
-        self.clock, self.after, self.ending, self.erasing = None, None, False, None
+        self.clock, self.after, self.ending, self.erasing, self.again = None, None, False, None, None
 
     def attach(self, clock, after):
         """`clock()` gives the loop's time in us; `after()` is called when results may have let something out: it
         flushes the border, and with it the ledger."""
         self.clock, self.after = clock, after
 
-    # ---- on the loop ----
-
     def begin(self, op):
-        (self.syncer if op.what == "sync" else self.writer).submit(self._do, op)
+        self._submit("op", op._replace(entries=()), op)
 
     def write_word(self, seq, word):
-        self.writer.submit(self._word, seq, word)
+        self._submit("word", word, fo.WORDS, seq, word)
+
+    def start_retention(self, keep_days, wall_us):
+        """Erases now and each hour what is past its age: a segment is read whole for it."""
+        if keep_days:
+            self._submit("erase", None, wall_us(), keep_days * DAY_US)
+            self.erasing = self.loop.call_later(ERASE_S, self.start_retention, keep_days, wall_us)
 
-    def _done(self, op, fault):
-        self.ledger.done(self.clock(), op, fault)
+    def _submit(self, what, *about):
+        if what == "op":
+            sent, subject = (about[0],), about[1]
+        else:
+            subject, *sent = about
+        if self.hand is None:  # it has ended and the next one is not there yet
+            self.loop.call_soon(self._result, what, subject, GONE, None)
+            return
+        self.out[self.hand.submit(what, *sent)] = (what, subject)
+
+    def _done(self, serial, fault, result):
+        what, subject = self.out.pop(serial)
+        self._result(what, subject, fault, result)
+
+    def _result(self, what, subject, fault, result):
+        if what == "op":
+            self.ledger.done(self.clock(), subject, fault)
+            self.after()
+        elif what == "word" and fault:
+            self.say("error", "word on a call not written", call=subject.call, word=subject.word, reason=fault)
+        elif what == "erase":
+            for number, records in result or ():
+                self.say("info", "records erased", segment=number, records=records)
+            if fault:
+                self.say("error", "records not erased", reason=fault)
+
+    def _lost(self):
+        """The hand's process has ended, killed by somebody: what was with it counts as failed, and another begins."""
+        self.hand.wait(0)
+        self.hand, out, self.out = None, self.out, {}
+        if self.ending:
+            return
+        self.say("error", "the process that writes records ended, another is begun")
+        for what, subject in out.values():
+            self._result(what, subject, GONE, None)
+        self.again = self.loop.call_later(AGAIN_S, self._another)
+
+    def _another(self):
+        self.hand = Hand(self.loop, self.files, self._done, self._lost)
         self.after()
 
     async def close(self):
         """Writes what waits, seals, and lets go of the folder; a disk that does not answer holds a stop up only for
         a while, and what was not written is said."""
-        if self.erasing is not None:
-            self.erasing.cancel()
+        for timer in (self.erasing,):
+            if timer is not None:
+                timer.cancel()
         self.journal.close()
         end = time.monotonic() + CLOSE_S
         while not self.journal.closed and time.monotonic() < end:
@@ -124,42 +141,10 @@
             self.say("error", "records not written at the end", frames=len(self.journal.queue),
                      reason=self.journal.trouble or "the disk does not answer")
         self.ending = True
-        if self.journal.closed:
-            self.writer.shutdown(True)
-            self.syncer.shutdown(True)
-            self.files.close()
-        else:
-            self.writer.shutdown(False)
-            self.syncer.shutdown(False)
-
-    def start_retention(self, keep_days, wall_us):
-        """Erases now and each hour what is past its age, in the writing thread: a segment is read whole for it."""
-        if keep_days:
-            self.writer.submit(self._erase, wall_us(), keep_days * DAY_US)
-            self.erasing = self.loop.call_later(ERASE_S, self.start_retention, keep_days, wall_us)
-
-    # ---- in the threads ----
-
-    def _erase(self, wall_us, keep_us):
-        try:
-            for tomb in fo.erase(self.files, wall_us, keep_us):
-                self.say("info", "records erased", segment=tomb.number, records=tomb.records)
-        except OSError as error:
-            self.say("error", "records not erased", reason=str(error))
-
-    def _do(self, op):
-        fault = ""
-        try:
-            fo.perform(self.files, op)
-        except OSError as error:
-            fault = f"{op.what}: {error.strerror or error}"
-        except Exception as error:  # noqa: BLE001 - a fault of ours must not leave the journal waiting for ever
-            fault = f"{op.what}: {error!r}"
-        if not self.ending:
-            self.loop.call_soon_threadsafe(self._done, op, fault)
-
-    def _word(self, seq, word):
-        try:
-            fo.add_word(self.files, fo.WORDS, seq, word)
-        except OSError as error:
-            self.say("error", "word on a call not written", call=word.call, word=word.word, reason=str(error))
+        if self.again is not None:
+            self.again.cancel()
+        if self.hand is not None:
+            self.hand.close()
+            while self.hand.process.poll() is None and time.monotonic() < end:
+                await asyncio.sleep(0.002)
+        self.files.close()
