Tests of the hand killed, folders locked, exports killed

The hand's process is killed three times while sixty calls wait for their records, a folder is in use, another's or no folder, a clock steps back an hour between two boots, an export is killed three times and then goes on.

--- /dev/null
+++ b/tests/records/test_hand.py
@@ -0,0 +1,165 @@
+"""The real thing: a store on a real folder, its hand killed, its folder locked, full or another's; exports killed."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+from records.proxy import Recorder
+
+from thorndale.config.settings import Records
+from thorndale.net.ends import now_us
+from thorndale.records.files import Files
+from thorndale.records.read import lines
+from thorndale.records.record import Record
+from thorndale.records.store import StoreError, open_store
+from thorndale.standins.collector import Collector
+
+
+def with_store(folder, act, **more):
+    """Runs `act(store, said)` on a loop; gives what was said."""
+    said = []
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        store = open_store(Records(folder=str(folder), **more), "p1", loop, lambda level, event, **f: said.append(event),
+                           now_us(), 1_790_000_000_000_000)
+        store.attach(now_us, lambda: store.ledger.flush(now_us()))
+        try:
+            await act(store)
+        finally:
+            await store.close()
+    asyncio.run(main())
+    return said
+
+
+def refuse(store, call, promised):
+    now = now_us()
+    store.ledger.refused(now, Record(call, call, "t", "", now, 0, now, 0, status=503, how="rejected"),
+                         lambda _: promised.append(call))
+    store.ledger.flush(now)
+
+
+async def until(test, seconds=10):
+    end = time.monotonic() + seconds
+    while not test() and time.monotonic() < end:
+        await asyncio.sleep(0.005)
+    assert test()
+
+
+def names(folder):
+    return [line.record.call for line in lines(Files(str(folder)))]
+
+
+def test_a_hand_that_is_killed_is_replaced_and_nothing_is_lost(tmp_path):
+    promised = []
+
+    async def act(store):
+        for n in range(60):
+            refuse(store, f"c{n}", promised)
+            if n % 20 == 10:
+                await until(lambda: store.hand is not None)
+                os.kill(store.hand.process.pid, signal.SIGKILL)
+            await asyncio.sleep(0.003)
+        for _ in range(200):
+            store.ledger.flush(now_us())
+            await asyncio.sleep(0.01)
+            if len(promised) == 60:
+                break
+
+    said = with_store(tmp_path, act)
+    assert said.count("the process that writes records ended, another is begun") == 3
+    assert sorted(promised) == sorted(names(tmp_path)) and len(promised) == 60
+
+
+def test_frames_larger_than_the_socket_takes_at_once(tmp_path):
+    promised = []
+
+    async def act(store):
+        for n in range(3000):
+            now = now_us()
+            store.ledger.refused(now, Record(f"c{n}", "x" * 900, "t", "", now, 0, now, 0), lambda _: promised.append(1))
+        store.ledger.flush(now_us())
+        await until(lambda: len(promised) == 3000)
+
+    with_store(tmp_path, act, wait_ms=20_000)
+    assert len(names(tmp_path)) == 3000
+
+
+def test_a_folder_that_is_in_use_or_anothers_is_refused(tmp_path, monkeypatch):
+    monkeypatch.setattr("thorndale.records.store.LOCK_S", 0.05)
+    held = Files(str(tmp_path))
+    held.lock()
+
+    async def nothing(store):
+        pass
+
+    with pytest.raises(StoreError, match="in use by process"):
+        with_store(tmp_path, nothing)
+    held.close()
+    with_store(tmp_path, nothing)
+    other = tmp_path / "other"
+    other.mkdir()
+    recorder = Recorder(Files(str(other)), "b1")
+    recorder.journal.proxy = "p2"
+    recorder.refused("x")
+    recorder.work()
+    recorder.close()
+    with pytest.raises(StoreError, match="holds the records of 'p2'"):
+        with_store(other, nothing)
+    with pytest.raises(StoreError, match="Not a directory|File exists"):
+        file = tmp_path / "file"
+        file.write_text("x")
+        with_store(file, nothing)
+
+
+def test_a_clock_that_steps_back_an_hour_between_two_boots(tmp_path):
+    """Durations come from the proxy's own clock, the order from sequence numbers, rating from what came later."""
+    from thorndale.records.rate import ordered
+
+    for boot, anchor in (("b1", 7_200_000_000), ("b2", 3_600_000_000)):
+        recorder = Recorder(Files(str(tmp_path)), boot)
+        recorder.journal.anchor_us = anchor
+        for n in range(3):
+            recorder.begin(f"{boot}{n}")
+            recorder.now += 1_000_000
+            recorder.end(f"{boot}{n}")
+        recorder.work()
+        recorder.close()
+    rows = list(lines(Files(str(tmp_path))))
+    for row in rows:
+        row.record.anchor_us = 7_200_000_000 if row.record.call.startswith("b1") else 3_600_000_000
+    assert [r.record.call for r in ordered([iter(rows)])] == ["b10", "b11", "b12", "b20", "b21", "b22"]
+    assert all(r.record.stood_for() >= 0 for r in rows)
+
+
+def test_an_export_killed_at_any_moment_goes_on_where_it_stood(tmp_path):
+    folder = tmp_path / "p1"
+    folder.mkdir()
+    recorder = Recorder(Files(str(folder)), "b1")
+    for n in range(300):
+        recorder.refused(f"c{n}")
+    recorder.work()
+    recorder.close()
+    collector = Collector(str(tmp_path / "far"), lambda n: "answer late", late_s=0.02)
+    args = [sys.executable, "-m", "thorndale", "records", "export", str(folder), "--to", str(tmp_path / "out"),
+            "--until", "2000-01-01", "--size", "5", "--url", collector.url]
+    try:
+        for wait in (0.75, 0.85, 0.95):
+            process = subprocess.Popen(args, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+            time.sleep(wait)
+            process.kill()
+            process.wait()
+        done = subprocess.run(args, capture_output=True, text=True, check=False)
+    finally:
+        collector.close()
+    assert done.returncode == 0, done.stderr
+    manifest = json.loads((tmp_path / "out" / "manifest.json").read_text())
+    far = os.listdir(tmp_path / "far")
+    assert len(far) == 61 and manifest["totals"]["records"] == 300
+    stored = sum((tmp_path / "far" / name).read_bytes().count(b"\n") - 1 for name in far if "batch" in name)
+    assert stored == 300
