A proxy under overload no longer blames its disk; example tariffs; verify beside a running proxy

What counts now is how long one operation has been with the disk. verify no longer calls the end of a segment in use torn.

--- a/tests/records/test_rating.py
+++ b/tests/records/test_rating.py
@@ -149,6 +149,13 @@
         load(str(tmp_path / "t.json5"))
 
 
+def test_the_example_is_sound():
+    tariffs = load("examples/tariffs.json5", ["timetable", "leaving-soon"])
+    assert amounts(tariffs, call("2026-12-01T12:00:00", 61), call("2026-12-01T23:00:00", 61),
+                   call(kind="leaving-soon", seconds=10)) == ["0.14", "0.12", "2.50"]
+    assert charges(tariffs, call("2026-12-05T12:00:00"))[0].tariffs == ("week's end",)
+
+
 def test_against_a_plain_model():
     """Second by second: an interval begins whenever the one before has run out, and costs what then counts."""
     day = {**PLAIN, "name": "day", "hours": "06:00-22:00", "per_interval": "0.07", "interval_s": 90}
--- a/tests/records/test_store.py
+++ b/tests/records/test_store.py
@@ -165,6 +165,20 @@
     assert recorder.said[-1][1] == "records are written again"
 
 
+def test_a_disk_that_stands_still_is_told_within_its_bound_and_refuses():
+    recorder = Recorder(Disk(), "b1")
+    recorder.work()
+    recorder.refused("one")
+    recorder.ledger.flush(recorder.now)  # its write is out, and nothing comes back
+    assert not recorder.ledger.refusing(recorder.now + LIMITS.slow_us)
+    recorder.now += LIMITS.slow_us + 1
+    recorder.ledger.mark(recorder.now, 0)
+    assert recorder.ledger.refusing(recorder.now) and recorder.said[-1][2]["reason"] == "the disk is slow"
+    recorder.work()
+    assert recorder.promised == ["one"] and not recorder.ledger.refusing(recorder.now)
+    assert recorder.said[-1][1] == "records are written again"
+
+
 def test_lose_counts_each_record_that_finds_no_room_and_keeps_the_ends_of_calls():
     disk = Disk()
     recorder = Recorder(disk, "b1", limits=LIMITS._replace(queue=4, policy="lose"))
--- a/tests/standins/test_kills.py
+++ b/tests/standins/test_kills.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from bench.kills import Sockets, compare, day
-
 from thorndale.standins.day import Player
 
 
--- a/thorndale/cli/records.py
+++ b/thorndale/cli/records.py
@@ -65,6 +65,15 @@
         typer.echo("passed over or open: " + ", ".join(f"{k} {v}" for k, v in found.items()), err=True)
 
 
+def _in_use(files):
+    try:
+        files.lock()
+    except (Locked, OSError):
+        return True
+    files.close()
+    return False
+
+
 @app.command()
 def verify(
     folders: list[str] = FOLDERS,
@@ -79,18 +88,21 @@
         except OSError as fault:
             typer.echo(f"{name}: {fault}", err=True)
             raise typer.Exit(1) from None
-        for finding in check.findings:
+        findings = check.findings
+        if check.open_tail and _in_use(src.files):  # a write under way: what lies there is not whole yet
+            findings = [x for x in findings if x.name != check.open_tail or "cut short" not in x.what]
+        for finding in findings:
             typer.echo(f"{name}: {finding}")
         digest = check.digest or "none"
         if expect and expect != digest:
             typer.echo(f"{name}: its last digest is {digest}, not the one expected")
             bad = True
-        bad |= bool(check.findings)
+        bad |= bool(findings)
         newer = f", {check.newer} frames of a newer version kept unread" if check.newer else ""
         tail = f", {check.open_tail} not sealed yet" if check.open_tail else ""
         typer.echo(f"{name}: {check.segments} segments, {check.erasures} erased, {check.frames} frames, "
                    f"{check.bytes} bytes{tail}{newer}; last digest {digest}; "
-                   + (f"{len(check.findings)} faults" if check.findings else "sound"))
+                   + (f"{len(findings)} faults" if findings else "sound"))
     raise typer.Exit(1 if bad else 0)
 
 
--- a/thorndale/records/journal.py
+++ b/thorndale/records/journal.py
@@ -64,6 +64,7 @@
         self.open_calls = {}  # call: [its begun frame, whether its 200 went out]
         self.body, self.opened_us, self.tail_bad, self.tried = None, 0, False, False
         self.writing, self.syncing, self.synced_us, self.written_us = None, None, 0, 0
+        self.writing_us = self.syncing_us = 0  # when they were begun
         self.urgent = False  # an answer waits for what is in the queue; else frames gather for `commit_us`
         self.trouble, self.troubles, self.retry_at, self.wait = "", 0, 0, RETRY_US
         self.lost, self.unguarded = 0, 0
@@ -107,9 +108,11 @@
         return self.limits.policy == "refuse" and (bool(self.trouble) or self.room() <= 0 or self.late(now))
 
     def late(self, now):
-        """Whether the oldest frame that is not on the disk has waited too long."""
-        oldest = self.unsynced[0] if self.unsynced else self.queue[0] if self.queue else None
-        return oldest is not None and now - oldest[4] > self.limits.slow_us
+        """Whether the disk has been at one operation for too long. The age of a frame would not do: it grows with the
+        loop's own lag, and a proxy under overload would blame its disk."""
+        slow = self.limits.slow_us
+        return self.writing is not None and now - self.writing_us > slow or \
+            self.syncing is not None and now - self.syncing_us > slow
 
     def close(self):
         """All that waits is still written, then the segment is sealed."""
@@ -126,11 +129,11 @@
         if self.writing is None and now >= self.retry_at:
             op = self._write(now)
             if op is not None:
-                self.writing = op
+                self.writing, self.writing_us = op, now
                 ops.append(op)
         if self.syncing is None and self.unsynced and self.body is not None and not self.tail_bad \
                 and now >= self.retry_at and self._sync_due(now):
-            self.syncing = Op("sync", self.number, upto=self.unsynced[-1][0])
+            self.syncing, self.syncing_us = Op("sync", self.number, upto=self.unsynced[-1][0]), now
             ops.append(self.syncing)
         return ops
 
