Bench of the top rate with records, in turns with a fixed number of calls out

Rates near the top differ more from run to run than by what records cost: the host takes an eighth of this machine's time. A fixed number of calls out gives the rate that each way reaches, and ratios are taken within one turn.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -65,8 +65,9 @@
         return next(int(line.split()[1]) * 1024 for line in file if line.startswith("VmRSS"))
 
 
-def one(way, rate, seconds, folder, taken, records=""):
-    """One rate by one way: what the caller saw, and the CPU of what stood between, per call in us."""
+def one(way, rate, seconds, folder, taken, records="", window=1 << 30):
+    """One rate by one way: what the caller saw, and the CPU of what stood between, per call in us. `window`: calls that
+    may be out at once; with a rate out of reach, `reached` is then what the way takes."""
     transport = "tcp" if way == "proxy tcp" else "udp"
     box_port, port = free_port(taken), free_port(taken)
     fails = 50 if way in ("proxy udp, retries off", "proxy udp, retries on") else 0
@@ -81,14 +82,14 @@
                              port)
     try:
         before = cpu(middle.pid) if middle else 0
-        caller = spawn("caller", transport, port if middle else box_port, rate, int(rate * seconds), "end", "x")
+        caller = spawn("caller", transport, port if middle else box_port, rate, int(rate * seconds), "end", "x", window)
         found = json.loads(caller.stdout.readline())
         caller.wait()
         used = (cpu(middle.pid) - before) if middle else 0
         calls = int(rate * seconds)
         return {"way": way, "rate": rate, "calls": calls, "stood": found["stood"], "failed": found["failed"],
                 "lost": found["lost"], "repeated": found["repeated"], "us": found["us"],
-                "cpu_us_call": round(used / calls * 1e6), "cpu_part": round(used / seconds, 3)}
+                "reached": round(calls / found["seconds"], 1), "cpu_us_call": round(used / calls * 1e6), "cpu_part": round(used / seconds, 3)}
     finally:
         for process in (box, middle):
             if process is not None:
--- a/bench/ends.py
+++ b/bench/ends.py
@@ -101,8 +101,8 @@
                 wire.send(b"SIP/2.0 200 OK\r\n" + head + b"Content-Length: 0\r\n\r\n", source)
 
 
-def caller(transport, to, rate, calls, hold, base):
-    """Places `calls` calls at `rate` a second; with `hold` they stand until told by a line on standard input.
+def caller(transport, to, rate, calls, hold, base, window=1 << 30):
+    """Places `calls` calls at `rate` a second, at most `window` of them not answered at once; with `hold` they stand until told by a line on standard input.
 
     Prints one JSON line: stood, failed, lost, repeated, seconds, and the set-up times in microseconds.
     """
@@ -134,7 +134,7 @@
 
     while True:
         now = time.perf_counter()
-        while sent < calls and now - began >= sent / rate:
+        while sent < calls and now - began >= sent / rate and len(out) + len(waiting) < window:
             data = (request("INVITE", sent, f"To: <sip:+2217{sent:07d}@127.0.0.1>", f"sip:+2217{sent:07d}@127.0.0.1:{to}",
                             1, "i") + f"Content-Type: application/sdp\r\nContent-Length: {len(SDP)}\r\n\r\n{SDP}").encode()
             out[sent] = [now, now, data]
@@ -240,6 +240,6 @@
     if kind == "box":
         box(rest[0], int(rest[1]), int(rest[2]), float(rest[3]))
     elif kind == "caller":
-        caller(rest[0], int(rest[1]), float(rest[2]), int(rest[3]), rest[4] == "hold", rest[5])
+        caller(rest[0], int(rest[1]), float(rest[2]), int(rest[3]), rest[4] == "hold", rest[5], *map(int, rest[6:]))
     else:
         relay(int(rest[0]), int(rest[1]))
--- a/bench/records.py
+++ b/bench/records.py
@@ -1,8 +1,9 @@
 """`python -m bench.records ways|folders`: what call records cost.
 
 ways: set-up time and CPU of one proxy by each order of answer and record, and without records, in turn at each rate.
+top: calls a second that each way reaches with a fixed number of calls out.
 folders: recovery, verification and rating of many records, with time and peak memory, each in a process of its own.
-Both write into docs/bench/.
+All write into docs/bench/.
 """
 
 import argparse
@@ -21,6 +22,7 @@
 from thorndale.records.record import Record, Try
 
 RATES = (300, 500, 700, 900, 1000, 1100)
+WINDOW = 24  # calls out at once where the top rate is sought: enough to keep the proxy busy, few to repeat nothing
 
 
 def ways(options):
@@ -54,6 +56,31 @@
         file.write("\n".join(lines) + "\n")
 
 
+def top(options):
+    """Calls a second with a fixed number of calls out: none, then each way, and back, in each turn; ratios are of one
+    turn, their median over all."""
+    turns, taken = [], set()
+    with tempfile.TemporaryDirectory(prefix="thorndale-records-", dir=options.disk or None) as folder:
+        for turn in range(options.turns):
+            row = {}
+            for way in ["", *WAYS] if turn % 2 == 0 else [*reversed(WAYS), ""]:
+                found = one("proxy udp", 10_000, options.seconds / 10, folder, taken, way, WINDOW)
+                row[way or "none"] = {k: found[k] for k in ("reached", "cpu_us_call", "stood", "calls", "us")}
+            turns.append(row)
+            print(json.dumps({way: [x["reached"], x["cpu_us_call"]] for way, x in row.items()}), flush=True)
+    middle = {}
+    for way in ("none", *WAYS):
+        parts = sorted(t[way]["reached"] / t["none"]["reached"] for t in turns)
+        cpu = sorted(t[way]["cpu_us_call"] / t["none"]["cpu_us_call"] for t in turns)
+        middle[way] = {"reached": sorted(t[way]["reached"] for t in turns)[len(turns) // 2],
+                       "ratio": round(parts[len(parts) // 2], 3), "least": round(parts[0], 3),
+                       "most": round(parts[-1], 3), "cpu_ratio": round(cpu[len(cpu) // 2], 3)}
+    print(json.dumps(middle, indent=1))
+    with open(f"{options.out}/records-top.json", "w", encoding="utf-8") as file:
+        json.dump({"turns": turns, "middle": middle}, file, indent=1)
+        file.write("\n")
+
+
 class Quiet:
     """Files that never sync: what is measured is reading."""
 
@@ -162,7 +189,7 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("what", choices=["ways", "folders"])
+    parser.add_argument("what", choices=["ways", "top", "folders"])
     parser.add_argument("--rates", type=int, nargs="*", default=RATES)
     parser.add_argument("--seconds", type=float, default=5.0)
     parser.add_argument("--turns", type=int, default=3)
@@ -171,7 +198,7 @@
     parser.add_argument("--disk", default="", help="A folder on the disk that is to be measured.")
     parser.add_argument("--out", default="docs/bench")
     options = parser.parse_args()
-    {"ways": ways, "folders": folders}[options.what](options)
+    {"ways": ways, "top": top, "folders": folders}[options.what](options)
 
 
 if __name__ == "__main__":
