--- a/tests/records/test_chain.py
+++ b/tests/records/test_chain.py
@@ -8,7 +8,7 @@
 from thorndale.records import folder as fo
 from thorndale.records import frame as f
 from thorndale.records import segment as s
-from thorndale.records.read import distinct, lines, source
+from thorndale.records.read import distinct, find, lines, source
 from thorndale.records.record import Record, decode, encode
 from thorndale.records.settle import Stops, words
 
@@ -97,6 +97,13 @@
     assert count["newer"] == 1 and not verify(disk).findings and verify(disk).newer == 1
 
 
+def test_a_call_is_found_by_the_index(disk):
+    rows = {line.record.call: line for line in all_lines(disk)}
+    for call, line in rows.items():
+        assert [(x.seq, x.record, x.settled) for x in find(disk, call)] == [(line.seq, line.record, line.settled)]
+    assert list(find(disk, "nothing")) == []
+
+
 def test_an_older_reader_skips_and_a_newer_one_fills():
     import msgspec
     row = msgspec.msgpack.decode(encode(Record("c", status=200)))
--- a/tests/records/test_hand.py
+++ b/tests/records/test_hand.py
@@ -76,6 +76,35 @@
     assert sorted(promised) == sorted(names(tmp_path)) and len(promised) == 60
 
 
+def test_a_hand_that_stands_still_holds_no_answer_and_no_loop_up(tmp_path):
+    promised, lags = [], []
+
+    async def act(store):
+        store.ledger.flush(now_us())
+        await until(lambda: store.journal.body is not None)  # the hand has started
+        refuse(store, "first", promised)
+        await until(lambda: promised)
+        before = store.ledger.count["answered ahead"]
+        os.kill(store.hand.process.pid, signal.SIGSTOP)
+        refuse(store, "second", promised)
+        at, was = time.monotonic(), time.monotonic()
+        while time.monotonic() < at + 0.6:
+            await asyncio.sleep(0.01)
+            lags.append(time.monotonic() - was - 0.01)
+            was = time.monotonic()
+            store.ledger.flush(now_us())
+            if len(promised) == 2 and "waited" not in lags:
+                lags.append("waited")
+                assert 0.09 < time.monotonic() - at < 0.4
+        assert store.ledger.refusing(now_us()) and store.ledger.count["answered ahead"] == before + 1
+        os.kill(store.hand.process.pid, signal.SIGCONT)
+        await until(lambda: not store.ledger.refusing(now_us()))
+
+    with_store(tmp_path, act, wait_ms=100, slow_ms=300)
+    assert "waited" in lags and max(x for x in lags if x != "waited") < 0.25
+    assert names(tmp_path) == ["first", "second"]
+
+
 def test_frames_larger_than_the_socket_takes_at_once(tmp_path):
     promised = []
 
--- a/thorndale/cli/records.py
+++ b/thorndale/cli/records.py
@@ -19,7 +19,7 @@
 from thorndale.records import settle as st
 from thorndale.records.chain import verify as look
 from thorndale.records.files import Files, Locked
-from thorndale.records.read import distinct, lines, source
+from thorndale.records.read import distinct, find, lines, source
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, help="Call records: check, show, rate, export, settle.")
 FOLDERS = typer.Argument(help="Folders of records, one for each proxy.")
@@ -136,7 +136,9 @@
     table = Table(*("proxy", "call", "ended", "type", "client", "server", "s", "how", "by", "answered"))
     shown = 0
     for src in sources:
-        for line in _lines(src, count):
+        # A name in the log is found by the segments' indices; a Call-ID is not in them.
+        quick = list(find(src.files, call)) if len(call) == 16 else []
+        for line in quick or _lines(src, count):
             record = line.record
             ended = record.wall_us(record.ended_us)
             if not begin <= ended < end or client and record.client != client or \
--- a/thorndale/records/read.py
+++ b/thorndale/records/read.py
@@ -6,8 +6,9 @@
 from thorndale.records import chain as c
 from thorndale.records import folder as fo
 from thorndale.records import frame as f
-from thorndale.records.fold import Fold
-from thorndale.records.record import DOUBT, NO, YES
+from thorndale.records import segment as s
+from thorndale.records.fold import OVER, Fold, Line
+from thorndale.records.record import DOUBT, MAJOR, NO, YES, Record, decode
 from thorndale.records.recover import head_of
 
 
@@ -49,6 +50,30 @@
     count["lost"] = fold.lost
 
 
+def find(files, call):
+    """Lines of one call, by the segments' indices: only what may hold it is read. A segment without a seal is read
+    whole."""
+    words = fo.words(files)
+    for name, data in fo.segments(files):
+        seal, (opening, _) = s.seal_of(data), head_of(data)
+        if opening is None:
+            continue
+        if seal is None:
+            found = [item for item in s.parse(name, data).frames if item.kind in OVER]
+        else:
+            found = [f.read(data, at) for at in s.place(seal.index, call)]
+        for item in found:
+            if not isinstance(item, f.Frame) or item.kind not in OVER or item.major != MAJOR:
+                continue
+            record = decode(Record, item.body)
+            if record.call == call:
+                word = words.get(call)
+                if word is not None and record.answered == DOUBT:
+                    record.answered = YES if word.word == "yes" else NO
+                yield Line(opening.proxy, opening.chain, opening.boot, item.seq, item.kind == f.SETTLED, record)
+                return
+
+
 def source(name, files):
     chain = ""
     there = fo.numbers(files)
