--- a/thorndale/standins/day.py
+++ b/thorndale/standins/day.py
@@ -70,6 +70,7 @@
         self.chance = draw(day.seed)
         self.count, self.per_second, self.lag = Counter(), {}, []
         self.processes, self.files, self.left, self.seconds = {}, {}, {}, 0.0
+        self.killed = set()  # process ids of proxies that a fault has killed
         self.rate_factor, self.only = 1.0, []
         self.tasks, self.faults = [], []
         self.wrong_type, self.editions, self.edition = 0, Counter(), 1
@@ -167,16 +168,18 @@
             stderr=open(self.files[name] + ".err", "ab"))  # noqa: SIM115 - the child's own from now on
 
     async def started(self, name):
-        """Waits until the proxy says so in its log."""
+        """Waits until the proxy says so in its log; False where it was killed before."""
         path, process = self.files[name].replace(".json5", ".log"), self.processes[name]
         end = time.monotonic() + START_S
         while time.monotonic() < end:
             if process.poll() is not None:
+                if process.pid in self.killed:
+                    return False
                 with open(self.files[name] + ".err", encoding="utf-8", errors="replace") as file:
                     raise DayError(f"{name} ended with {process.returncode}: {file.read()[-800:]}")
             with contextlib.suppress(OSError), open(path, encoding="utf-8") as file:
                 if f'"pid": {process.pid}' in file.read():
-                    return
+                    return True
             await asyncio.sleep(0.03)
         raise DayError(f"{name} did not start within {START_S} s")
 
@@ -247,14 +250,15 @@
                 self.processes[name].send_signal(signal.SIGHUP)
         elif kind == "proxy killed":
             for name in fault.who:
+                self.killed.add(self.processes[name].pid)
                 self.processes[name].kill()
                 self.processes[name].wait()
                 self.auditor.did(now_us(), "killed", name)
             await asyncio.sleep(span)
             for name in fault.who:
                 self.spawn(name)
-                await self.started(name)
-                self.auditor.did(now_us(), "up", name)
+                if await self.started(name):
+                    self.auditor.did(now_us(), "up", name)
         elif kind == "proxy stopped":
             for name in fault.who:
                 self.processes[name].send_signal(signal.SIGSTOP)
