--- a/thorndale/daemon/run.py
+++ b/thorndale/daemon/run.py
@@ -63,6 +63,7 @@
             return border.now
 
         store.attach(clock, ends.batch)
+        await store.ready()
         store.start_retention(settings.records.keep_days, border.wall_us)
     loop.set_exception_handler(lambda _, context: say("error", "fault in the program", fault=repr(
         context.get("exception") or context.get("message")), where=repr(context.get("handle", ""))))
--- a/thorndale/records/store.py
+++ b/thorndale/records/store.py
@@ -18,6 +18,7 @@
 DAY_US = 86_400_000_000
 ERASE_S = 3600.0  # s between two looks for what is past its age: ages are told in days
 LOCK_S = 3.0  # s that a start waits for the hand of a proxy that was killed just before
+READY_S = 5.0
 AGAIN_S = 0.2  # s before another hand is begun: one that is killed at once again must not take the loop's time
 GONE = "the process that writes has ended"
 CLOSE_S = 10.0  # s that a stop waits for the disk at most
@@ -73,6 +74,14 @@
         flushes the border, and with it the ledger."""
         self.clock, self.after = clock, after
 
+    async def ready(self):
+        """Until the first segment is open, so that no early answer goes ahead of its record; a disk that does not
+        answer holds a start up for READY_S only."""
+        end = time.monotonic() + READY_S
+        while self.journal.body is None and time.monotonic() < end:
+            self.ledger.flush(self.clock())
+            await asyncio.sleep(0.005)
+
     def begin(self, op):
         self._submit("op", op._replace(entries=()), op)
 
