Writes for which answers wait are two milliseconds apart at least

A write alone still goes at once. Frames beyond the first megabyte of a queue no longer wait for commit_ms, and a hand whose proxy is killed ends without a traceback.

--- a/thorndale/records/hand.py
+++ b/thorndale/records/hand.py
@@ -149,7 +149,10 @@
     threading.Thread(target=sync, daemon=True).start()
     held = bytearray()
     while True:
-        data = sock.recv(READ)
+        try:
+            data = sock.recv(READ)
+        except OSError:
+            return  # the proxy was killed with results unread; what it had sent was read first
         if not data:
             return
         held += data
--- a/thorndale/records/journal.py
+++ b/thorndale/records/journal.py
@@ -24,6 +24,8 @@
 
 ENDS = (f.ENDED, f.WHOLE, f.SETTLED)  # kinds that close a call; the kind is a frame's third byte
 BATCH = 1 << 20  # bytes of one write at most: what a failing disk makes us write again
+GATHER_US = 2_000  # us between two writes for which answers wait: alone, one goes at once; at a thousand calls a second
+# some share it, since each costs the loop a turn. The price is at most this in a set-up
 RETRY_US = 100_000  # us before a failed operation is tried again, doubled to
 RETRY_MOST_US = 5_000_000  # us: a disk that was full for an hour is found well within seconds
 UNDER_WAY = 2  # times the queue's bound that frames of calls under way may fill it to: they can't be refused any more
@@ -68,7 +70,7 @@
         self.urgent = False  # an answer waits for what is in the queue; else frames gather for `commit_us`
         self.trouble, self.troubles, self.retry_at, self.wait = "", 0, 0, RETRY_US
         self.lost, self.unguarded = 0, 0
-        self.closing, self.closed = False, False
+        self.closing, self.closed, self.rotating = False, False, False
 
     # ---- in ----
 
@@ -122,7 +124,7 @@
 
     def due(self, now):
         """Whether what waits is to be written now rather than with what comes next."""
-        return self.urgent or self.closing or now >= self.written_us + self.limits.commit_us
+        return self.closing or now >= self.written_us + (GATHER_US if self.urgent else self.limits.commit_us)
 
     def want(self, now):
         ops = []
@@ -144,8 +146,8 @@
         if self.trouble:
             return self.retry_at if self.writing is None else None
         times = []
-        if self.queue and self.writing is None and self.syncing is None:  # else that one's end asks again
-            times.append(self.written_us + self.limits.commit_us)
+        if self.queue and self.writing is None and not self.rotating:  # rotating: the sync's end asks again
+            times.append(self.written_us + (GATHER_US if self.urgent else self.limits.commit_us))
         if self.unsynced and self.syncing is None:
             times.append(self.synced_us + self.limits.commit_us)
         return min(times, default=None)
@@ -179,6 +181,7 @@
             return None
         if self._full(now) or self.closing and not self.queue:
             if self.unsynced or self.syncing is not None:
+                self.rotating = True
                 return None
             return Op("seal", self.number, s.seal_bytes(self.body, 0))
         if not self.queue or not self.due(now):
@@ -189,7 +192,7 @@
             size += len(entry[1])
             if size >= BATCH:
                 break
-        self.written_us, self.urgent = now, False
+        self.written_us, self.urgent = now, self.urgent and len(entries) < len(self.queue)
         return Op("write", self.number, b"".join([e[1] for e in entries]), entries=tuple(entries))
 
     def _carry(self):
@@ -253,7 +256,7 @@
 
     def _did_seal(self, now, op):
         self.before = self.body.sha.hexdigest()
-        self.body, self.number = None, self.number + 1
+        self.body, self.number, self.rotating = None, self.number + 1, False
 
     def _synced(self, now, op, fault):
         self.syncing = None
@@ -261,7 +264,7 @@
             self._failed(now, fault)
             self.writing = None
             self.abandoned.append(self.number)
-            self.body, self.tail_bad, self.number = None, False, self.number + 1
+            self.body, self.tail_bad, self.number, self.rotating = None, False, self.number + 1, False
             self.queue.extendleft(reversed(self.unsynced))
             self.unsynced.clear()
             return
