A new try is no repeat; one rating at a time; state that nothing read is gone

A caller that tries again in the same Call-ID after its 503 would have withdrawn the record of the answer that it had: the CSeq now tells a repeat from a new try (a field added at the record's end). Two ratings into one folder would have removed each other's half. Frames' ages had no reader any more; two sentences about slow_ms were of before.

--- a/tests/records/test_export.py
+++ b/tests/records/test_export.py
@@ -12,6 +12,7 @@
 
 from thorndale.cli.main import app
 from thorndale.records.delivery import DONE, STUCK, WAITING, WINDOW, Delivery
+from thorndale.records.editions import editions
 from thorndale.records.files import Files
 from thorndale.records.hide import hider
 from thorndale.standins.collector import FAULTS, Collector
@@ -81,7 +82,12 @@
     (tmp_path / "bad.json5").write_text(TARIFFS.replace("timetable", "other") % "-1")
     found = run("rate", folder, "--tariffs", tmp_path / "bad.json5", "--to", tmp_path / "rated")
     assert found.exit_code == 2 and "nothing was rated" in found.output
-    assert sorted(os.listdir(tmp_path / "rated"))[-1] == "edition-0003"
+    assert editions(str(tmp_path / "rated")) == [1, 2, 3]
+    lock = Files(str(tmp_path / "rated"))
+    lock.lock()
+    found = run("rate", folder, "--tariffs", tmp_path / "a.json5", "--to", tmp_path / "rated")
+    assert found.exit_code == 1 and "another rating writes here" in found.output
+    lock.close()
     (two / "totals.csv").write_text("x")
     found = run("rate", folder, "--tariffs", tmp_path / "a.json5", "--to", tmp_path / "rated")
     assert found.exit_code == 0  # against edition 3, which is whole
--- a/tests/records/test_store.py
+++ b/tests/records/test_store.py
@@ -231,7 +231,9 @@
     recorder.promised.clear()
     again = Recorder(disk.after_kill(), "b2")
     assert [line.record.answered for line in all_lines(disk)] == ["no", "doubt"]
-    again.ledger.repeated(again.now, "two@x", "t", 1)
+    again.ledger.repeated(again.now, "two@x", "t", 2, 1)  # a new try of a caller that had its answer
+    assert not again.ledger.words
+    again.ledger.repeated(again.now, "two@x", "t", 0, 1)
     again.ledger.spoke(again.now, "one", 1)
     assert [(line.record.call, line.record.answered) for line in all_lines(disk)] == [("one", "yes")]
 
--- a/thorndale/call/border.py
+++ b/thorndale/call/border.py
@@ -344,7 +344,8 @@
         if method == "CANCEL":
             invite = self.layer.cancelled(message)
             if invite is None:
-                self.ledger.cancelled(now, message.call_id, message.from_tag, now + self.wall_offset_us)
+                self.ledger.cancelled(now, message.call_id, message.from_tag, message.cseq[0],
+                                      now + self.wall_offset_us)
             if invite is None or invite.table is tx.table:
                 tx.respond(now, 481, self.token())
                 return
@@ -374,7 +375,7 @@
     def _invite(self, now, tx, invite):
         """A new call: handed to the module, or refused for what it is."""
         self.count["offered"] += 1
-        self.ledger.repeated(now, invite.call_id, invite.from_tag, now + self.wall_offset_us)
+        self.ledger.repeated(now, invite.call_id, invite.from_tag, invite.cseq[0], now + self.wall_offset_us)
         refused = refused_extensions(invite)
         if refused:
             self._turn_away(now, tx, 420, "extension", [("Unsupported", ", ".join(refused))])
--- a/thorndale/call/call.py
+++ b/thorndale/call/call.py
@@ -26,7 +26,7 @@
     __slots__ = ("border", "id", "index", "state", "tx", "number", "caller_uri", "body", "passed", "hops", "seizure",
                  "seizures", "legs", "answers", "relays", "refusal", "outcome", "byes", "server", "came", "owed",
                  "stood_at", "kind", "wait_bye", "rule", "rules", "client", "group", "caller", "priority", "told",
-                 "held")
+                 "held", "caller_seq")
 
     def __init__(self, border, token, tx, sorted_, hops):
         """`sorted_` is what the sorter found, `hops` the next leg's Max-Forwards. Raises SipError for an INVITE in
@@ -45,6 +45,7 @@
         self.kind, self.client, self.group = sorted_.call_type, sorted_.client, sorted_.group
         self.caller, self.priority = sorted_.caller, sorted_.priority_class
         self.told = []  # (server, outcome, when sent, us it took) of each seizure that has ended, for the record
+        self.caller_seq = invite.cseq[0]
         self.held = False  # decided, and the caller's final answer waits for its record
         self.state, self.seizure, self.seizures, self.server = "setting up", None, 0, -1
         self.legs = [Dialog.of_request(invite, f"{token}a", tx.hop), None]
--- a/thorndale/call/detail.py
+++ b/thorndale/call/detail.py
@@ -27,7 +27,7 @@
         border.hide(_clean(call.caller)), _clean(call.number), call.rule, call.rules, f"{kind.revenue:g}",
         call.priority,
         [Try(names[server], causes.OUTCOME_NAMES[outcome], at, took) for server, outcome, at, took in call.told],
-        YES if call.stood_at else NO, status, how, by)
+        YES if call.stood_at else NO, status, how, by, call.caller_seq)
 
 
 def of_refused(border, now, message, status, how):
@@ -35,4 +35,5 @@
     return Record(
         border.token(), _clean(message.call_id), _clean(message.from_tag), came_us=now, ended_us=now,
         anchor_us=border.wall_offset_us, number=_clean(message.uri.partition("@")[0].rpartition(":")[2][:40]),
-        rules=border.sorter.rules.digest, status=status, how=how, by="proxy")
+        rules=border.sorter.rules.digest, status=status, how=how, by="proxy",
+        caller_seq=message.cseq[0])
--- a/thorndale/cli/records.py
+++ b/thorndale/cli/records.py
@@ -186,7 +186,7 @@
     sources = _sources(folders)
     try:
         number, manifest = ed.make(to, known, sources, _lines)
-    except OSError as fault:
+    except (ed.EditionError, OSError) as fault:
         typer.echo(f"{to}: {fault}; nothing there was changed", err=True)
         raise typer.Exit(1) from None
     counts = manifest["counts"]
--- a/thorndale/records/editions.py
+++ b/thorndale/records/editions.py
@@ -18,6 +18,7 @@
 from collections import Counter
 from decimal import Decimal
 
+from thorndale.records.files import Files, Locked
 from thorndale.records.rate import Rater, ordered
 
 EDITION = re.compile(r"^edition-(\d{4})$")
@@ -40,6 +41,18 @@
     """Rates all lines into the next edition; gives (its number, the manifest). `sources` are read.Source;
     `lines_of(source, count)` yields its Lines. A half-made one from a kill goes."""
     os.makedirs(folder, exist_ok=True)
+    lock = Files(folder)
+    try:
+        lock.lock()
+    except Locked:
+        raise EditionError(f"{folder}: another rating writes here; wait for it") from None
+    try:
+        return _make(folder, tariffs, sources, lines_of)
+    finally:
+        lock.close()
+
+
+def _make(folder, tariffs, sources, lines_of):
     number = (editions(folder) or [0])[-1] + 1
     half = os.path.join(folder, "edition-new")
     shutil.rmtree(half, ignore_errors=True)
--- a/thorndale/records/journal.py
+++ b/thorndale/records/journal.py
@@ -33,7 +33,7 @@
 
 class Limits(NamedTuple):
     """`queue` in frames, `segment_bytes` and `segment_us` when a segment is sealed, `commit_us` between two syncs,
-    `slow_us` after which a waiting frame counts as trouble, `policy` 'refuse' or 'lose'."""
+    `slow_us` after which an operation without a result is trouble, `policy` 'refuse' or 'lose'."""
 
     queue: int = 20_000
     segment_bytes: int = 64 << 20
@@ -62,7 +62,7 @@
         self.limits, self.proxy, self.chain, self.boot, self.anchor_us = limits, proxy, chain, boot, anchor_us
         self.number, self.before, self.abandoned = number, before, list(abandoned)
         self.next_seq, self.written, self.synced = next_seq, next_seq - 1, next_seq - 1
-        self.queue, self.unsynced = deque(), deque()  # (seq, bytes, call, wall_us, since_us)
+        self.queue, self.unsynced = deque(), deque()  # (seq, bytes, call, wall_us)
         self.open_calls = {}  # call: [its begun frame, whether its 200 went out]
         self.body, self.opened_us, self.tail_bad, self.tried = None, 0, False, False
         self.writing, self.syncing, self.synced_us, self.written_us = None, None, 0, 0
@@ -94,7 +94,7 @@
         data = f.pack(kind, seq, body)
         if kind in (f.BEGUN, f.INTENT):
             self.open_calls[call] = [data, False]
-        self.queue.append((seq, data, call, wall_us, now))
+        self.queue.append((seq, data, call, wall_us))
         return seq
 
     def sent(self, now, calls):
@@ -236,7 +236,7 @@
     def _did_write(self, now, op):
         body = self.body
         at = body.size
-        for seq, data, call, wall_us, _ in op.entries:
+        for seq, data, call, wall_us in op.entries:
             if call:
                 body.index.append(s.call_hash(call))
                 body.index.append(at)
@@ -271,7 +271,7 @@
         self.synced_us = now
         self.synced = max(self.synced, op.upto)
         while self.unsynced and self.unsynced[0][0] <= op.upto:
-            _, data, call, *_ = self.unsynced.popleft()
+            _, data, call, _ = self.unsynced.popleft()
             if data[2] in ENDS:  # only now: a segment opened before must still carry it
                 self.open_calls.pop(call, None)
 
--- a/thorndale/records/ledger.py
+++ b/thorndale/records/ledger.py
@@ -43,7 +43,7 @@
     def refusing(self, now):
         return False
 
-    def repeated(self, now, caller_leg, caller_tag, wall_us):
+    def repeated(self, now, caller_leg, caller_tag, caller_seq, wall_us):
         pass
 
     cancelled = repeated
@@ -77,7 +77,7 @@
         self.intents, self.sent_calls = {}, []
         self.count = Counter()
         self.unsure = {r.call: r for r in unsure}
-        self.legs = {(r.caller_leg, r.caller_tag): r.call for r in unsure if r.caller_leg}
+        self.legs = {(r.caller_leg, r.caller_tag, r.caller_seq): r.call for r in unsure if r.caller_leg}
         self.forget_at, self.words = now + FORGET_US, 0
         self.alarm = ""
 
@@ -126,14 +126,14 @@
 
     # ---- what callers tell of calls before the stop ----
 
-    def repeated(self, now, caller_leg, caller_tag, wall_us):
+    def repeated(self, now, caller_leg, caller_tag, caller_seq, wall_us):
         """An INVITE came that an earlier boot had met: its caller had no answer."""
-        call = self.legs.pop((caller_leg, caller_tag), None)
+        call = self.legs.pop((caller_leg, caller_tag, caller_seq), None)
         if call is not None:
             self._word(call, "withdrawn", "its caller repeated the INVITE after the stop", wall_us)
 
-    def cancelled(self, now, caller_leg, caller_tag, wall_us):
-        call = self.legs.get((caller_leg, caller_tag))
+    def cancelled(self, now, caller_leg, caller_tag, caller_seq, wall_us):
+        call = self.legs.get((caller_leg, caller_tag, caller_seq))
         if call in self.unsure and self.unsure[call].answered == DOUBT:
             self._word(call, "no", "its caller cancelled it after the stop", wall_us)
 
@@ -146,7 +146,7 @@
     def _word(self, call, word, why, wall_us):
         record = self.unsure.pop(call, None)
         if record is not None:
-            self.legs.pop((record.caller_leg, record.caller_tag), None)
+            self.legs.pop((record.caller_leg, record.caller_tag, record.caller_seq), None)
             self.words += 1
             self.count["words"] += 1
             self.write_word(self.words, Word(call, word, why, wall_us))
--- a/thorndale/records/record.py
+++ b/thorndale/records/record.py
@@ -48,6 +48,7 @@
     status: int = 0
     how: str = ""
     by: str = ""
+    caller_seq: int = 0  # the CSeq of the caller's INVITE: the same again is a repeat, a higher one a new try
 
     def wall_us(self, at):
         return at + self.anchor_us
--- a/thorndale/records/store.py
+++ b/thorndale/records/store.py
@@ -18,7 +18,7 @@
 DAY_US = 86_400_000_000
 ERASE_S = 3600.0  # s between two looks for what is past its age: ages are told in days
 LOCK_S = 3.0  # s that a start waits for the hand of a proxy that was killed just before
-READY_S = 5.0
+READY_S = 5.0  # s that a start waits for its first segment; past it the proxy serves by its policy for trouble
 AGAIN_S = 0.2  # s before another hand is begun: one that is killed at once again must not take the loop's time
 GONE = "the process that writes has ended"
 CLOSE_S = 10.0  # s that a stop waits for the disk at most
@@ -138,9 +138,8 @@
     async def close(self):
         """Writes what waits, seals, and lets go of the folder; a disk that does not answer holds a stop up only for
         a while, and what was not written is said."""
-        for timer in (self.erasing,):
-            if timer is not None:
-                timer.cancel()
+        if self.erasing is not None:
+            self.erasing.cancel()
         self.journal.close()
         end = time.monotonic() + CLOSE_S
         while not self.journal.closed and time.monotonic() < end:
