--- a/thorndale/call/border.py
+++ b/thorndale/call/border.py
@@ -34,6 +34,7 @@
 ))
 MASK = (1 << 64) - 1
 SWEEP_US = 1_000_000  # us between looks for calls that stand too long
+RECORDS_US = 4_000  # us between two looks at what the records want, where no message brings one about
 SAY_US = 1_000_000  # us between two log lines of one kind about bad input: peers choose how often they send it
 FULL_DATAGRAM = 60_000  # bytes of a datagram at most; over it a message cannot go by UDP (RFC 3261 section 18.1.1)
 
@@ -321,13 +322,12 @@
         self.freed.clear()
 
     def _next_record(self, now):
-        """One timer for what the records want next."""
-        at, timer = self.ledger.next_at(), self.record_timer
-        if timer is not None and (at is None or timer[0] > at or timer[0] <= now):
-            self.timers.cancel(timer)
-            self.record_timer = timer = None
-        if at is not None and timer is None:
-            self.record_timer = self.timers.set(max(at, now + 1), self, "records")
+        """A timer for what the records want next, in case that no message comes before: while they come, each flush
+        asks the ledger anyway, and a timer set to the point would be a second turn of the loop for each write."""
+        if self.record_timer is None:
+            at = self.ledger.next_at()
+            if at is not None:
+                self.record_timer = self.timers.set(max(at, now + RECORDS_US), self, "records")
 
     def _named(self, text):
         """The module's 'server 2: ...' with the server's name for its index."""
