--- a/thorndale/call/border.py
+++ b/thorndale/call/border.py
@@ -61,6 +61,8 @@
         self.server_names = [s.name for s in settings.servers]
         self.server_groups = [s.trunk_group for s in settings.servers]
         self.type_names = [t.name for t in settings.call_types]
+        self.revenue_classes = [f"{t.revenue:g}" for t in settings.call_types]
+        self.client_names = [c.name for c in settings.clients] or [""]
         self.guards = [t.guard_ms * 1000 for t in settings.call_types]
         self.longest_us = settings.limits.call_s * 1_000_000
         self.owners = {}  # the first 16 characters of a local tag: the call or subscription that it belongs to
@@ -404,7 +406,7 @@
             self.say("warning", "unknown trunk group in a call", call=token, group=found.unknown_group[:60])
         tx.respond(now, 100)
         self.owners[token] = call
-        if self.ledger.kept:
+        if self.ledger.notes_coming:
             self.ledger.came(now, of_call(call, now))
         left = self.guards[found.call_type]
         expires = invite.get("expires")
--- a/thorndale/call/detail.py
+++ b/thorndale/call/detail.py
@@ -15,16 +15,14 @@
     """The Record of a call; with `how` its end, else as far as it goes."""
     border = call.border
     names = border.server_names
-    kind = border.settings.call_types[call.kind]
-    clients = border.settings.clients
     legs = call.legs
     group = border.server_groups[call.server] if call.server >= 0 else border.settings.trunk_groups[call.group].name
     server_leg = f"{call.id}b{call.seizures - 1}" if call.seizures else ""
     return Record(
         call.id, _clean(legs[0].call_id), _clean(legs[0].remote_tag), server_leg,
-        call.came, call.stood_at, now if how else 0, border.wall_offset_us, kind.name,
-        clients[call.client].name if clients else "", group, names[call.server] if call.server >= 0 else "",
-        border.hide(_clean(call.caller)), _clean(call.number), call.rule, call.rules, f"{kind.revenue:g}",
+        call.came, call.stood_at, now if how else 0, border.wall_offset_us, border.type_names[call.kind],
+        border.client_names[call.client], group, names[call.server] if call.server >= 0 else "",
+        border.hide(_clean(call.caller)), _clean(call.number), call.rule, call.rules, border.revenue_classes[call.kind],
         call.priority,
         [Try(names[server], causes.OUTCOME_NAMES[outcome], at, took) for server, outcome, at, took in call.told],
         YES if call.stood_at else NO, status, how, by, call.caller_seq)
--- a/thorndale/records/journal.py
+++ b/thorndale/records/journal.py
@@ -126,6 +126,13 @@
         """Whether what waits is to be written now rather than with what comes next."""
         return self.closing or now >= self.written_us + (GATHER_US if self.urgent else self.limits.commit_us)
 
+    def ready(self, now):
+        """Whether `want` could have anything to begin: asked at each flush, some eight times a call, so it is cheap."""
+        if self.body is None or self.closing or self.trouble or self.rotating:
+            return True
+        return self.writing is None and bool(self.queue) and self.due(now) or \
+            self.syncing is None and bool(self.unsynced) and now >= self.synced_us + self.limits.commit_us
+
     def want(self, now):
         ops = []
         if self.writing is None and now >= self.retry_at:
--- a/thorndale/records/ledger.py
+++ b/thorndale/records/ledger.py
@@ -26,7 +26,7 @@
 class Unkept:
     """No records are kept: answers go at once. What a Ledger has, doing nothing."""
 
-    kept = False
+    kept, notes_coming = False, False
 
     def came(self, now, record):
         pass
@@ -72,6 +72,7 @@
 
     def __init__(self, journal, way, wait_us, perform, write_word, say, unsure=(), now=0):
         self.journal, self.way, self.wait_us = journal, way, wait_us
+        self.notes_coming = way == "intent"  # whether `came` wants to be told
         self.perform, self.write_word, self.say = perform, write_word, say
         self.waiting, self.deadlines, self.serial = [], deque(), 0  # (seq, serial, then); (when, serial)
         self.intents, self.sent_calls = {}, []
@@ -85,7 +86,7 @@
 
     def came(self, now, record):
         """A call was taken; `record` as far as it goes."""
-        if self.way == "intent":
+        if self.notes_coming:
             self.intents[record.call] = self.journal.put(now, f.INTENT, encode(record), record.call)
 
     def refused(self, now, record, then, under_way=True):
@@ -175,9 +176,9 @@
         if self.sent_calls and journal.writing is None and journal.due(now):
             calls, self.sent_calls = self.sent_calls, []
             journal.sent(now, calls)
-        if self.waiting:
+        if self.waiting and (self.waiting[0][0] <= self._safe() or self.deadlines[0][0] <= now):
             self._release(now)
-        if journal.queue or journal.unsynced or journal.body is None or journal.closing or journal.trouble:
+        if journal.ready(now):
             for op in journal.want(now):
                 self.perform(op)
 
