The border proxy on the platform: callers' messages, plain SIP, control feed, one core

thorndale/platform/ is the pure part (callers' framer and set-ups, the central servers' SIP on sip/'s framing and parsing, feed and known, configuration, the core), thorndale/node/ the shell on thorndale/net.

One builder of the module's map (settings.py) for flat pairs and nested JSON, the typed readers in fields.py; the door of a host by numbers (door.py) is shared by call/ and platform/.

--- a/thorndale/adapter/door.py
+++ b/thorndale/adapter/door.py
@@ -4,8 +4,9 @@
 Indices of calls are used again once a call is over and none of its seizures is out.
 """
 
+from thorndale import fields as f
 from thorndale import interface as ours
-from thorndale.adapter import frames as f
+from thorndale.adapter import frames
 
 STATES = {"SERVING": ours.SERVING, "DRAINING": ours.DRAINING, "DELETED": ours.GONE}
 OUTCOMES = {
@@ -22,56 +23,6 @@
 TOLD = {("errored", 4): ours.BUSY, ("saturated", 1): ours.EMPTY}
 
 
-def _listed(info, path, parse, default=None):
-    """path.N.leaf for every N; a leaf left out takes the default."""
-    base, leaf = path.split("[].")
-    count = f.maybe(info, f"{base}.count", f.whole, 0)
-    if default is None:
-        return [f.need(info, f"{base}.{n}.{leaf}", parse) for n in range(count)]
-    return [f.maybe(info, f"{base}.{n}.{leaf}", parse, default) for n in range(count)]
-
-
-def settings(info):
-    """The wire's settings under our names, as one plain map; a needed one that is missing is named."""
-    pools = f.maybe(info, "familyInfo.skilledPools.count", f.whole, 0)
-    return {
-        "tick_us": f.need(info, "tickMs", f.micros),
-        "instances": f.need(info, "nInstances", f.whole),
-        "type_target_us": _listed(info, "classes[].goalTimeMs", f.micros),
-        "type_guard_us": _listed(info, "classes[].giveUpMs", f.micros),
-        "type_hold_us": [
-            f.micros("familyInfo.classHoldMs", hold)
-            for hold in info.get("familyInfo.classHoldMs", "").split(",")
-            if hold
-        ],
-        "type_revenue": _listed(info, "classes[].worth", f.number),
-        "type_late_part": _listed(info, "classes[].lateWorth", f.number, 0.0),
-        "type_pools": [
-            [
-                f.whole("familyInfo.skilledPools", p)
-                for p in info.get(f"familyInfo.skilledPools.{n}", "").split(",")
-                if p
-            ]
-            for n in range(pools)
-        ],
-        "client_quota": _listed(info, "tenants[].quotaPerS", f.number),
-        "over_quota_part": f.maybe(info, "overShareWorth", f.number, 1.0),
-        "release_us": f.need(info, "familyInfo.guardMs", f.micros),
-        "resend_us": f.maybe(info, "familyInfo.repeatMs", f.micros, 0),
-        "seizures_max": f.need(info, "ceilings.sendCap", f.whole),
-        "open_max": f.need(info, "ceilings.mostHeld", f.whole),
-        "may_cancel": f.maybe(info, "ceilings.mayCancel", f.flag, False),
-        "comeback_told": f.maybe(info, "ceilings.retryAfter", f.flag, False),
-        "comeback_max_us": f.maybe(info, "ceilings.maxRetryAfterMs", f.micros, 0),
-        "drain_grace_us": f.need(info, "rules.drainGraceMs", f.micros),
-        "start_capacity": f.need(info, "rules.startCapacity", f.number),
-        "warm_up_us": f.need(info, "rules.warmUpMs", f.micros),
-        "fall_multiple": f.need(info, "rules.fallMultiple", f.number),
-        "fall_us": f.need(info, "rules.fallMs", f.micros),
-        "list_asked": info.get("discovery") == "subscribe",
-    }
-
-
 class Door:
     def __init__(self, types):
         self.types = types
@@ -197,26 +148,26 @@
         kind = type(action)
         if kind is ours.Seize:
             self.out[action.call] += 1
-            return f.line(
+            return frames.line(
                 "DELIVER",
                 proxy=proxy,
                 tid=self.call_ids[action.call],
                 server=self.server_ids[action.server],
-                timeoutMs=f.ms(action.timeout_us),
+                timeoutMs=frames.ms(action.timeout_us),
             )
         if kind is ours.SetTimer:
-            return f.line("REMIND", proxy=proxy, momentMs=f.ms(action.at_us), ctx=action.token)
+            return frames.line("REMIND", proxy=proxy, momentMs=frames.ms(action.at_us), ctx=action.token)
         if kind is ours.Log:
-            return f.line("NOTE_DOWN", proxy=proxy, reasonText=action.text)
+            return frames.line("NOTE_DOWN", proxy=proxy, reasonText=action.text)
         if kind is ours.Follow:
-            return f.line("FOLLOW", proxy=proxy, active=1)
+            return frames.line("FOLLOW", proxy=proxy, active=1)
         tid = self.call_ids[action.call]
         if kind is ours.Cancel:
-            return f.line("CANCEL", proxy=proxy, tid=tid, copy=action.seizure)
+            return frames.line("CANCEL", proxy=proxy, tid=tid, copy=action.seizure)
         self._over(action.call)
         if kind is ours.Reject:
-            return f.line("SAY_NO", proxy=proxy, tid=tid, backoffMs=f.ms(action.comeback_us))
-        return f.line("ABORT", proxy=proxy, tid=tid)
+            return frames.line("SAY_NO", proxy=proxy, tid=tid, backoffMs=frames.ms(action.comeback_us))
+        return frames.line("ABORT", proxy=proxy, tid=tid)
 
 
 def entry(fields):
--- a/thorndale/adapter/frames.py
+++ b/thorndale/adapter/frames.py
@@ -1,11 +1,6 @@
-"""Lines of the wire: reading fields with their types, and writing them. No meaning, no ids."""
+"""Lines of the wire: their parts, and writing them. No meaning, no ids."""
 
-import base64
-import binascii
-
-
-class BadInput(Exception):
-    """Something on the wire cannot be read; the text says what."""
+from thorndale.fields import BadInput
 
 
 def split(line):
@@ -20,75 +15,6 @@
     return name, fields
 
 
-def need(fields, key, parse):
-    if key not in fields:
-        raise BadInput(f"needed field '{key}' is missing")
-    return parse(key, fields[key])
-
-
-def maybe(fields, key, parse, default):
-    return parse(key, fields[key]) if key in fields else default
-
-
-def whole(key, text):
-    try:
-        value = int(text)
-    except ValueError:
-        raise BadInput(f"'{key}' is no whole number: {text[:40]!r}") from None
-    return value
-
-
-def number(key, text):
-    try:
-        value = float(text)
-    except ValueError:
-        value = float("nan")
-    if value != value or value in (float("inf"), float("-inf")):
-        raise BadInput(f"'{key}' is no number: {text[:40]!r}")
-    return value
-
-
-def micros(key, text):
-    return round(number(key, text) * 1000)
-
-
-def flag(key, text):
-    if text in ("1", "true"):
-        return True
-    if text in ("0", "false"):
-        return False
-    raise BadInput(f"'{key}' is neither 1 nor 0: {text[:40]!r}")
-
-
-def hexkey(key, text):
-    try:
-        return int(text, 16)
-    except ValueError:
-        raise BadInput(f"'{key}' is no hex number: {text[:40]!r}") from None
-
-
-def string(key, text):
-    return text
-
-
-def octets(key, text):
-    try:
-        return b"" if text == "-" else base64.b64decode(text, validate=True)
-    except (binascii.Error, ValueError):
-        raise BadInput(f"'{key}' is no base64: {text[:40]!r}") from None
-
-
-def pairs(key, text):
-    """name:value pairs set apart by commas, values numbers."""
-    found = {}
-    for part in text.split(",") if text else ():
-        name, colon, value = part.partition(":")
-        if not colon:
-            raise BadInput(f"'{key}' holds a pair without ':': {part[:40]!r}")
-        found[name] = number(f"{key}.{name}", value)
-    return found
-
-
 def ms(us):
     """Whole microseconds as the wire's milliseconds, without loss."""
     return f"{us // 1000}.{us % 1000:03d}"
--- a/thorndale/adapter/host.py
+++ b/thorndale/adapter/host.py
@@ -1,8 +1,10 @@
 """Hosts instances that share nothing: reads batches, hands out events, writes one reply a batch."""
 
-from thorndale.adapter import frames as f
-from thorndale.adapter.door import Door, entry, settings
+from thorndale import fields as f
+from thorndale.adapter import frames
+from thorndale.adapter.door import Door, entry
 from thorndale.policy import Proxy
+from thorndale.settings import module_settings
 
 
 class Host:
@@ -11,7 +13,7 @@
 
     def _boot(self, number, fields):
         info = {k: v for k, v in fields.items() if k not in ("proxy", "seed")}
-        known = settings(info)
+        known = module_settings(info)
         self.doors[number] = Door(len(known["type_revenue"]))
         self.proxies[number] = Proxy(f.need(fields, "seed", f.whole), known)
 
@@ -20,7 +22,7 @@
         batch, wanted, reply = {}, None, []
         for at, text in lines:
             try:
-                name, fields = f.split(text)
+                name, fields = frames.split(text)
                 if name == "DEFINE_LIST":
                     wanted = (f.need(fields, "ref", f.whole), f.need(fields, "items", f.whole))
                     self.lists[wanted[0]] = []
@@ -76,7 +78,7 @@
                 if now_us is not None:
                     raise f.BadInput(f"line {at}: MARK inside a batch")
                 try:
-                    now_us = f.need(f.split(text)[1], "tMs", f.micros)
+                    now_us = f.need(frames.split(text)[1], "tMs", f.micros)
                 except f.BadInput as bad:
                     raise f.BadInput(f"line {at} (MARK): {bad}") from None
             elif now_us is None:
@@ -103,7 +105,7 @@
         print(f"thorndale.adapter: {said}", file=errors)
         if number is not None and number.isdigit():
             sink.write(
-                (f.line("PANIC", proxy=number, reasonText=" ".join(said.split())) + "\nEND\n").encode()
+                (frames.line("PANIC", proxy=number, reasonText=" ".join(said.split())) + "\nEND\n").encode()
             )
             sink.flush()
         return 1
--- a/thorndale/call/door.py
+++ b/thorndale/call/door.py
@@ -1,12 +1,8 @@
-"""The module's door in the daemon: its plain settings map, its indices, its events in and its actions out.
+"""The module's plain settings map, as the daemon's settings give it.
 
-The module knows calls, servers, trunk groups, call types and clients by dense indices: those of the settings'
-lists; calls are numbered here and a number is used again once its call is over and its last seizure's end told.
+The module knows servers, trunk groups, call types and clients by dense indices: those of the settings' lists.
 """
 
-from thorndale import interface as io
-from thorndale.policy import Proxy
-
 
 def module_settings(settings):
     """The one map of names to values that the module is started with; the names as `thorndale/interface.py` and
@@ -44,41 +40,3 @@
         "fall_us": rules.fall_ms * 1000,
         "list_asked": settings.book is not None,
     }
-
-
-class Door:
-    """Events are gathered and handed over in one batch by `take`, which gives the actions."""
-
-    def __init__(self, seed, settings):
-        self.module = Proxy(seed, module_settings(settings))
-        self.calls, self.spare, self.events = [], [], []
-
-    def __len__(self):
-        """Calls that have a number."""
-        return len(self.calls) - len(self.spare)
-
-    def number(self, call):
-        """A number for a call, to be given back by `release`."""
-        if self.spare:
-            index = self.spare.pop()
-            self.calls[index] = call
-            return index
-        self.calls.append(call)
-        return len(self.calls) - 1
-
-    def release(self, index):
-        self.calls[index] = None
-        self.spare.append(index)
-
-    def tell(self, event):
-        self.events.append(event)
-
-    def take(self, now):
-        events, self.events = self.events, []
-        return self.module.handle(now, events)
-
-    def server_state(self, server):
-        """What the list last said of a server: for logs and status, no decision is made on it."""
-        module = self.module
-        state = module.state[server] if server < len(module.state) else io.GONE
-        return ("serving", "draining", "gone")[state]
--- /dev/null
+++ b/thorndale/node/__init__.py
@@ -0,0 +1,1 @@
+"""The border proxy on the operators' platform: listener, connections to central servers, control feed, signals."""
--- /dev/null
+++ b/thorndale/node/follow.py
@@ -0,0 +1,91 @@
+"""The control feed followed: asked from the last number had, anew after each break, silence or fault."""
+
+from thorndale.net.tcp import Stream, Tcp
+from thorndale.platform import feed
+from thorndale.platform.errors import PlatformError
+
+SILENT_S = 1.7  # s without a frame after which it counts as broken: an empty one comes each second
+AGAIN_S = 0.05  # s from a break to the next try, doubled to the most
+AGAIN_MOST_S = 0.5
+
+
+class Follower:
+    """`on_event(event)` for each new event, in order, and `on_batch()` after some. `move(address, known)` on SIGHUP."""
+
+    def __init__(self, loop, bounds, address, last, on_event, on_batch, say):
+        self.loop, self.address, self.feed = loop, address, feed.Feed(last)
+        self.on_event, self.on_batch, self.say = on_event, on_batch, say
+        self.tcp = Tcp(loop, bounds, self._frame, self._lost, on_batch,
+                       Stream(feed.Framer, (PlatformError,), 4096, "unreached", "spoilt"), self._opened)
+        self.hop, self.wait, self.again, self.silence = None, AGAIN_S, None, None
+        self._connect()
+
+    def _connect(self):
+        self.again = None
+        self.hop = self.tcp.connect(*self.address)
+
+    def _opened(self, hop):
+        if hop == self.hop:
+            self.tcp.send(hop, self.feed.ask())
+            self._heard()
+
+    def _heard(self):
+        if self.silence is not None:
+            self.silence.cancel()
+        self.silence = self.loop.call_later(SILENT_S, self._silent, self.hop)
+
+    def _silent(self, hop):
+        if hop == self.hop:
+            self._break("silent")
+
+    def _frame(self, frame, hop):
+        if hop != self.hop:
+            return
+        self._heard()
+        self.wait = AGAIN_S
+        try:
+            event = feed.read(*frame)
+            if event is not None and self.feed.take(event):
+                self.on_event(event)
+        except PlatformError as fault:
+            self._break(str(fault))
+
+    def _break(self, why):
+        """Ends the connection and asks anew at once."""
+        self.say("warning", "control feed broken", why=why, last=self.feed.last)
+        hop, self.hop = self.hop, None
+        connection = self.tcp.by_hop.get(hop)
+        if connection is not None:
+            self.tcp.drop(connection)
+        self._later(0)
+
+    def _later(self, wait):
+        if self.again is not None:
+            self.again.cancel()
+        self.again = self.loop.call_later(wait, self._connect)
+
+    def _lost(self, hop, kind):
+        if hop == self.hop:
+            self.say("warning", "control feed lost", kind=kind, last=self.feed.last)
+            self.hop = None
+            self._later(self.wait)
+            self.wait = min(AGAIN_MOST_S, self.wait * 2)
+
+    def move(self, address, events):
+        """The configuration was replaced: events of its `known` that are new, then the feed at its new address."""
+        for event in events:
+            try:
+                if self.feed.take(event):
+                    self.on_event(event)
+            except PlatformError:  # a gap: the feed itself is asked from the last number had
+                break
+        if address != self.address or self.hop is None:
+            self.address, self.wait = address, AGAIN_S
+            self._break("moved")
+        self.on_batch()
+
+    async def close(self):
+        for handle in (self.again, self.silence):
+            if handle is not None:
+                handle.cancel()
+        await self.tcp.close()
--- /dev/null
+++ b/thorndale/node/shell.py
@@ -0,0 +1,255 @@
+"""The border proxy's sockets, signals and log round its core: one process, one loop."""
+
+import asyncio
+import gc
+import os
+import signal
+import time
+from typing import NamedTuple
+
+import uvloop
+
+from thorndale.net.ends import now_us
+from thorndale.net.tcp import Stream, Tcp
+from thorndale.node.follow import Follower
+from thorndale.node.log import Say
+from thorndale.node.start import StartError, read_file
+from thorndale.platform import central, isup
+from thorndale.platform.beliefs import counted
+from thorndale.platform.border import Border, Send
+from thorndale.platform.errors import PlatformError
+from thorndale.policy import Proxy
+
+OWN = 24  # descriptors of the process itself: streams, loop, listener, control feed, log
+SERVERS_PART = 4  # one part in so many of the descriptors is kept for central servers
+CALLER_READ, SERVER_READ = 4_096, 16_384  # bytes read at one go, so that one fast sender delays no other
+UNSENT = 262_144  # bytes that wait for a peer that does not read
+PARTIAL_MS = 1_500  # half of the time in which an unusable client is owed a close
+SILENT_MS = 1_500
+IDLE_US = 8_000_000  # us after which a connection from callers is closed: callers do it after half of that
+SWEEP_S = 0.25
+READ_FIRST_US = 3_000  # us that a timer may be late before the sockets are read ahead of it
+READ_TURNS = 3  # turns of the loop in which what lies in the sockets is read
+TOLD_S = 5.0  # s between two log lines that hold beliefs against what passed
+STOP_S = 1.0  # s after SIGTERM in which connections and set-ups still come
+LOOK_S = 0.05
+COLLECT_AT = 50_000  # objects between two collections: a call leaves no cycle behind
+
+
+class Bounds(NamedTuple):
+    """What `thorndale.net` holds a set of connections to."""
+
+    connections: int
+    connect_ms: float
+    unsent_bytes: int = UNSENT
+    partial_ms: int = PARTIAL_MS
+
+
+class Shell(Send):
+    """Carries bytes between sockets and the core."""
+
+    def __init__(self, loop, path, config, say):
+        self.loop, self.path, self.config, self.say = loop, path, config, say
+        offset = time.time_ns() // 1000 - now_us()
+        self.core = Border(config, Proxy(config.seed, config.settings), self, offset)
+        servers = config.sockets // SERVERS_PART
+        connect_ms = config.connect_us / 1000
+        faults = (PlatformError, *central.FAULTS)
+        self.callers = Tcp(loop, Bounds(config.sockets - servers - OWN, connect_ms), self._message, self._left,
+                           self.batch, Stream(isup.Framer, faults, CALLER_READ), self._came, self._for_room)
+        self.servers = Tcp(loop, Bounds(servers, connect_ms), self._signal, self._lost, self.batch,
+                           Stream(central.Framer, faults, SERVER_READ, "unreached", "spoilt"), self._opened)
+        self.feed, self.handle, self.handle_at, self.late_us = None, None, 0, 0
+        self.handles = {}
+
+    def open(self):
+        """Raises OSError where the address cannot be had."""
+        self.core.start(now_us())
+        self.feed = Follower(self.loop, Bounds(4, self.config.connect_us / 1000), self.config.feed,
+                             self.config.known[0], self._event, self.batch, self.say)
+        self.callers.listen(*self.config.listen)
+        self.batch()
+        self._sweep()
+        self._tell()
+
+    # ---- what the core wants done ----
+
+    def to_caller(self, conn, data):
+        if conn in self.callers.by_hop:
+            self.callers.send(conn, data)
+
+    def end_caller(self, conn):
+        self.callers.finish(conn)
+
+    def connect(self, host, port):
+        return self.servers.connect(host, port)
+
+    def to_server(self, key, data):
+        if key in self.servers.by_hop:
+            self.servers.send(key, data)
+
+    def end_server(self, key):
+        connection = self.servers.by_hop.get(key)
+        if connection is not None:
+            self.servers.drop(connection)
+
+    def log(self, event, **fields):
+        self.say("info", event, **fields)
+
+    # ---- what happens on the sockets ----
+
+    def _came(self, hop):
+        self.core.caller_opened(now_us(), hop)
+
+    def _message(self, message, hop):
+        self.core.caller_message(now_us(), hop, message)
+
+    def _left(self, hop, kind):
+        self.core.caller_lost(now_us(), hop)
+
+    def _for_room(self):
+        """The connection to give up for one more: one that never said anything of use, else the longest idle."""
+        now = now_us()
+        idle = self.core.idle(now, 0)
+        if not idle:
+            return None
+        self.core.caller_lost(now, idle[0])
+        return idle[0]
+
+    def _opened(self, hop):
+        self.core.server_opened(now_us(), hop)
+        self.batch()
+
+    def _signal(self, signal, hop):
+        self.core.server_signal(now_us(), hop, signal)
+
+    def _lost(self, hop, kind):
+        if kind == "spoilt":
+            self.say("warning", "stream spoilt", fault=self.servers.fault)
+        self.core.server_lost(now_us(), hop, kind)
+
+    def _event(self, event):
+        self.core.listed(now_us(), event)
+
+    def batch(self):
+        self.core.flush(now_us())
+        self.arm()
+
+    # ---- timers ----
+
+    def arm(self):
+        at = self.core.timers.next_at()
+        if at is None or (self.handle is not None and self.handle_at <= at):
+            return
+        if self.handle is not None:
+            self.handle.cancel()
+        self.handle_at = at
+        self.handle = self.loop.call_later(max(0.0, (at - now_us()) / 1e6), self._due, 0)
+
+    def _due(self, turns):
+        """What fell due while bytes lie unread is no time-out: when late, the loop reads first."""
+        late = now_us() - self.handle_at
+        self.late_us = max(self.late_us, late)
+        if late > READ_FIRST_US and turns < READ_TURNS:
+            self.handle = self.loop.call_soon(self._due, turns + 1)
+            return
+        self.handle = None
+        try:
+            now = now_us()
+            self.core.run(now)
+            self.core.flush(now)
+        finally:
+            self.arm()
+
+    def _sweep(self):
+        self.callers.sweep(SILENT_MS)
+        self.servers.sweep()
+        for hop in self.core.idle(now_us(), IDLE_US):
+            self.callers.finish(hop)
+        self.handles["sweep"] = self.loop.call_later(SWEEP_S, self._sweep)
+
+    def _tell(self):
+        """Beliefs beside what passed, and the counts so far."""
+        now = now_us()
+        for row in counted(now, self.core):
+            self.say("info", "server", **row)
+        self.say("info", "counts", calls=self.core.count, callers=self.callers.count, feed=self.feed.feed.count,
+                 open=self.core.being_set_up(), connections=[len(self.callers.by_hop), len(self.servers.by_hop)],
+                 late_ms=self.late_us // 1000, fault=self.callers.fault)
+        self.late_us = 0
+        self.handles["tell"] = self.loop.call_later(TOLD_S, self._tell)
+
+    # ---- signals ----
+
+    def reload(self):
+        """SIGHUP: the file anew; one that cannot be read leaves the old in force."""
+        try:
+            config = read_file(self.path)
+        except StartError as fault:
+            self.say("error", "configuration refused, the old one stays", fault=str(fault))
+            return
+        if config.settings != self.config.settings:
+            self.say("warning", "other settings are taken at the next start only")
+        self.feed.move(config.feed, config.known[1])
+        self.say("info", "configuration in force", feed=config.feed)
+
+    async def stop(self):
+        """SIGTERM: what still comes is served; the process ends once nothing is open and nothing stands, or when it
+        is killed: a release that nobody passes on would leave its caller standing."""
+        self.say("info", "stopping", open=self.core.being_set_up(), standing=self.core.standing())
+        self.core.stop()
+        await asyncio.sleep(STOP_S)
+        while self.core.being_set_up() or self.core.standing():
+            await asyncio.sleep(LOOK_S)
+        await asyncio.sleep(LOOK_S)
+
+    async def close(self):
+        for handle in (*self.handles.values(), self.handle):
+            if handle is not None:
+                handle.cancel()
+        await self.feed.close()
+        await self.servers.close()
+        await self.callers.close()
+
+
+async def serve(path, config, ready=lambda: None):
+    """Runs a border proxy until it is told to stop. Raises StartError."""
+    loop = asyncio.get_running_loop()
+    say = Say(config.name)
+    loop.set_exception_handler(lambda _, context: say("error", "fault in the program", fault=repr(
+        context.get("exception") or context.get("message")), where=_where(context.get("exception"))))
+    shell = Shell(loop, path, config, say)
+    told = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, shell.reload)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    try:
+        shell.open()
+    except OSError as fault:
+        await shell.close()
+        address = ":".join(map(str, config.listen))
+        raise StartError(f"listen: {address} cannot be opened: {fault.strerror}; is another program there?") from None
+    say("info", "started", listen=config.listen, pid=os.getpid())
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_AT)
+    ready()
+    await told.wait()
+    await shell.stop()
+    say("info", "stopped", counts=shell.core.count)
+    await shell.close()
+
+
+def _where(fault):
+    """The innermost line of the program in a fault's traceback."""
+    step, found = getattr(fault, "__traceback__", None), ""
+    while step is not None:
+        found = f"{step.tb_frame.f_code.co_filename.rpartition('thorndale/')[2]}:{step.tb_lineno}"
+        step = step.tb_next
+    return found
+
+
+def run(path, config):
+    """Runs `serve` on uvloop to its end."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve(path, config))
--- /dev/null
+++ b/thorndale/platform/border.py
@@ -0,0 +1,570 @@
+"""The core of a border proxy on the platform: callers on one side, central servers on the other, the module between.
+
+How to call it: `Border(config, module, send, now)`, where `send` carries out what is to be done on sockets (`Send`
+below); then `start`, and for whatever happens the method that is named for it; after each batch of those, `flush`
+hands the module's events over and carries out its actions. Times are whole microseconds on a clock that only
+advances; `offset` brings Unix times onto it.
+
+Calls being set up are known by (connection, id), calls that stand by their id alone. Each seizure gets exactly one end.
+"""
+
+from collections import deque
+
+from thorndale import interface as io
+from thorndale.door import Door
+from thorndale.platform import central as sip
+from thorndale.platform import isup, outcomes
+from thorndale.platform.errors import PlatformError
+from thorndale.platform.feed import fold
+from thorndale.platform.links import Central, Link
+from thorndale.timers import Timers
+
+TEND_US = 100_000  # us between two looks at the connections to central servers
+RELEASES_KEPT = 20_000  # releases that wait for a connection from callers at most: as many as calls may stand
+
+
+class Send:
+    """What the core wants done on sockets; a shell or a test gives these."""
+
+    def to_caller(self, conn, data): ...
+
+    def end_caller(self, conn):
+        """Closes a caller's connection once what was sent is out."""
+
+    def connect(self, host, port):
+        """Opens a connection to a central server; its key, under which `opened` or `server_lost` follows."""
+
+    def to_server(self, key, data): ...
+
+    def end_server(self, key): ...
+
+    def log(self, event, **fields): ...
+
+
+class Conn:
+    """A connection from callers. `open` is {id: Call}; `good`: a set-up that can be used came by it."""
+
+    __slots__ = ("key", "open", "good", "used_at")
+
+    def __init__(self, key, now):
+        self.key, self.open, self.good, self.used_at = key, {}, False, now
+
+
+class Call:
+    """A call from its set-up to its release. `index` is the module's number, -1 where the module does not know it."""
+
+    __slots__ = ("conn", "id", "text", "number", "kind", "body", "index", "seizure", "sent", "central", "last", "over")
+
+    def __init__(self, conn, call, setup, kind):
+        self.conn, self.id, self.text, self.number, self.kind = conn, call, call.hex(), setup.number, kind
+        self.body, self.index, self.seizure, self.sent = setup.description, -1, None, 0
+        self.central, self.last, self.over = None, -1, False
+
+
+class Seizure:
+    """One set-up at a central server. `over`: its end was told; an answer that comes still is released at once."""
+
+    __slots__ = ("border", "call", "number", "central", "link", "sent_at", "timer", "over")
+
+    def __init__(self, border, call, number, central, now):
+        self.border, self.call, self.number, self.central = border, call, number, central
+        self.link, self.sent_at, self.timer, self.over = None, now, None, False
+
+    def due(self, now, name):
+        self.timer = None
+        self.border.timed_out(now, self)
+
+
+class Border:
+    def __init__(self, config, module, send, offset):
+        self.config, self.send, self.offset = config, send, offset
+        self.door, self.timers = Door(module), Timers()
+        self.conns, self.calls, self.links = {}, {}, {}  # by connection; by id, being set up and standing; by key
+        self.centrals, self.by_index, self.servers = {}, {}, 0
+        self.unsent, self.done, self.last_conn = deque(), [], None
+        self.stopping, self.pings = False, 0
+        self.kinds = {kind.index: kind for kind in config.kinds.values()}
+        self.count = {}
+
+    # ---- the start, the list ----
+
+    def start(self, now):
+        """Takes the list that came with the configuration, as from disk."""
+        entries = fold(self.config.known[1]).values()
+        self._list(now, entries, True, True)
+        self.timers.set(now + TEND_US, self, "tend")
+
+    def listed(self, now, event):
+        """An event of the control feed, new and in order."""
+        self._list(now, event.entries, event.whole, False)
+
+    def _list(self, now, entries, whole, disk):
+        told, named = [], set()
+        for entry in entries:
+            named.add(entry.name)
+            central = self.centrals.get(entry.name)
+            if central is None:
+                if entry.state == io.GONE:
+                    continue
+                central = self.centrals[entry.name] = Central(self.servers, entry.name)
+                self.by_index[self.servers] = central
+                self.servers += 1
+            started = max(1, entry.started_ms * 1000 - self.offset) if entry.started_ms else 0
+            if central.started != started and central.state >= 0 and entry.state == io.SERVING:
+                self._cut(now, central, "started anew")
+            if (central.host, central.port) != (entry.host, entry.port) and central.links:
+                for link in list(central.links):
+                    self._drop(now, link)
+            central.host, central.port, central.pool = entry.host, entry.port, entry.pool
+            central.state, central.started = entry.state, started
+            told.append(io.Server(central.index, central.pool, entry.state, started))
+        for central in list(self.centrals.values()):
+            if whole and central.name not in named and central.state != io.GONE:
+                central.state = io.GONE
+        if told or whole:
+            self.door.tell(io.Servers(tuple(told), whole, disk))
+        for central in list(self.centrals.values()):
+            if central.state == io.GONE:
+                self._gone(now, central)
+
+    def _gone(self, now, central):
+        """Told gone: what stands there goes on while a connection to it lives; no new one is opened, since its
+        address may be another's."""
+        if not any(link.opened for link in central.links):
+            for link in list(central.links):
+                self._drop(now, link)
+            self._cut(now, central, "gone")
+            self._forget(central)
+
+    def _forget(self, central):
+        if central.state == io.GONE and not central.links and not central.standing:
+            self.centrals.pop(central.name, None)
+            self.by_index.pop(central.index, None)
+
+    # ---- callers ----
+
+    def caller_opened(self, now, key):
+        self.conns[key] = Conn(key, now)
+
+    def caller_message(self, now, key, message):
+        """One framed message from a caller: (type, call, parameters)."""
+        conn = self.conns.get(key)
+        if conn is None:
+            return
+        kind, call, data = message
+        conn.used_at = now
+        try:
+            if kind == isup.SETUP:
+                self._setup(now, conn, call, isup.parameters(data))
+            elif kind == isup.RELEASE:
+                self._released(now, conn, call, isup.cause_of(isup.parameters(data)))
+            elif kind == isup.TEST:
+                passed = not self.stopping
+                self.send.to_caller(key, isup.encode(isup.RESULT, call, (isup.CAUSE, bytes((passed,)))))
+            elif kind != isup.HEARD:
+                raise PlatformError(f"type {kind} from a caller", "message")
+        except PlatformError as fault:
+            self._bad(now, conn, call, fault)
+
+    def _bad(self, now, conn, call, fault):
+        """What cannot be used is turned away and its connection closed; nobody else's calls are touched."""
+        self._note("bad from callers")
+        self.send.log("unusable message", fault=str(fault))
+        held = conn.open.get(call)
+        if held is not None:
+            self._give_up(now, held)
+        self.send.to_caller(conn.key, isup.release(call, outcomes.UNREADABLE))
+        self.caller_lost(now, conn.key)
+        self.send.end_caller(conn.key)
+
+    def _setup(self, now, conn, call, found):
+        setup = isup.read_setup(found, self.config.kinds)
+        if not any(call):
+            raise PlatformError("no id", "set-up")
+        kind = self.kinds[setup.call_type]
+        if setup.at:
+            self._stands(now, conn, call, setup, kind)
+            return
+        if call in conn.open:
+            raise PlatformError("two set-ups under one id", "set-up")
+        if call in self.calls:
+            raise PlatformError("the id is another call's", "set-up")
+        conn.good, self.last_conn = True, conn.key
+        held = Call(conn, call, setup, kind)
+        held.last = now + setup.within_us
+        held.index = self.door.number(held)
+        self.calls[call] = conn.open[call] = held
+        self._note("set-ups")
+        self.door.tell(io.Call(held.index, setup.call_type, 0, int(setup.number, 16), setup.within_us, setup.pool,
+                               setup.redial, setup.again))
+        self._release_kept(conn)
+
+    def _stands(self, now, conn, call, setup, kind):
+        """A call that stands at a central server already: taken up after a restart, without an answer."""
+        if call in self.calls:
+            return
+        conn.good, self.last_conn = True, conn.key
+        self._note("taken up")
+        central = self.centrals.get(setup.at)
+        if central is None:  # its server is gone, so it is over
+            self.send.to_caller(conn.key, isup.release(call, outcomes.CUT))
+            return
+        held = Call(conn, call, setup, kind)
+        held.central = central
+        self.calls[call] = central.standing[call] = held
+        if not central.links:
+            self._open(now, central)
+        self._release_kept(conn)
+
+    def _released(self, now, conn, call, cause):
+        held = conn.open.get(call)
+        if held is not None:
+            self._note("given up by callers")
+            self._give_up(now, held)
+            return
+        held = self.calls.get(call)
+        if held is not None and held.central is not None:
+            self._note("released by callers")
+            central = held.central
+            self._to(now, central, sip.bye(held.text, held.sent + 1, held.number, cause or outcomes.CLEARED))
+            self._end_standing(now, held, io.COMPLETED, None)
+
+    def _give_up(self, now, held):
+        """The caller of a call that is being set up has left: nothing more is owed."""
+        self._close(held)
+        self.door.tell(io.Left(held.index))
+        if held.seizure is not None:
+            self._cancel(now, held.seizure, io.CANCELLED, True)
+        self.done.append(held)
+
+    def caller_lost(self, now, key):
+        """A connection from callers has ended; calls that stand go on."""
+        conn = self.conns.pop(key, None)
+        if conn is None:
+            return
+        for held in list(conn.open.values()):
+            self._note("left by a lost connection")
+            self._give_up(now, held)
+
+    def idle(self, now, quiet_us):
+        """Connections from callers without a set-up open and without a message for so long, longest first."""
+        found = [c for c in self.conns.values() if not c.open and now - c.used_at >= quiet_us]
+        return [c.key for c in sorted(found, key=lambda c: (c.good, c.used_at))]
+
+    def _close(self, held):
+        """The call is no more one that is being set up."""
+        held.over = True
+        self.calls.pop(held.id, None)
+        if held.conn is not None:
+            held.conn.open.pop(held.id, None)
+
+    def _release_kept(self, conn):
+        while self.unsent:
+            call, cause = self.unsent.popleft()
+            self.send.to_caller(conn.key, isup.release(call, cause))
+
+    def _release(self, held, cause):
+        """The release of a call that stood, towards its caller, by any connection there is."""
+        key = held.conn.key if held.conn is not None and held.conn.key in self.conns else self.last_conn
+        if key not in self.conns:
+            key = next((c.key for c in reversed(list(self.conns.values())) if c.good), None)
+        if key is not None:
+            self.send.to_caller(key, isup.release(held.id, cause))
+        elif len(self.unsent) < RELEASES_KEPT:
+            self.unsent.append((held.id, cause))
+
+    # ---- central servers ----
+
+    def _open(self, now, central):
+        key = self.send.connect(central.host, central.port)
+        link = self.links[key] = Link(key, central, now)
+        central.links.append(link)
+        central.count("connections")
+        return link
+
+    def _to(self, now, central, data):
+        """Sends what concerns a call that stood, on any connection to its server."""
+        link = central.any_open() or (central.links[0] if central.links else None)
+        if link is None:
+            if central.state == io.GONE:
+                return
+            link = self._open(now, central)
+        self._write(link, data)
+
+    def _write(self, link, data):
+        if link.opened:
+            self.send.to_server(link.key, data)
+        else:
+            link.waiting.append(data)
+
+    def server_opened(self, now, key):
+        link = self.links.get(key)
+        if link is not None:
+            link.central.opened(link, now)
+            if link.waiting:
+                self.send.to_server(key, b"".join(link.waiting))
+                link.waiting = []
+
+    def server_lost(self, now, key, kind):
+        """A connection to a central server has ended: 'refused', 'unreached', 'lost' or 'spoilt'."""
+        link = self.links.pop(key, None)
+        if link is not None:
+            self._unlink(now, link, kind)
+
+    def _drop(self, now, link):
+        """Ends a connection from here; set-ups open on it are given up."""
+        self.links.pop(link.key, None)
+        self.send.end_server(link.key)
+        self._unlink(now, link, "lost")
+
+    def _unlink(self, now, link, kind):
+        central = link.central
+        if link in central.links:
+            central.links.remove(link)
+        link.usable = False
+        central.count(f"connections {kind}")
+        for seizure in list(link.out.values()):
+            if not seizure.over:
+                self._end(now, seizure, outcomes.CONNECTION[kind], None)
+        link.out = {}
+        if kind != "spoilt":
+            central.failed(now)
+        if kind == "refused" and not any(other.opened for other in central.links):
+            self._cut(now, central, "refuses connections")
+        if central.state == io.GONE:
+            self._gone(now, central)
+        elif central.standing and not central.links and kind in ("lost", "spoilt") and central.fails < 2:
+            self._open(now, central)
+
+    def server_signal(self, now, key, signal):
+        link = self.links.get(key)
+        if link is None:
+            return
+        central = link.central
+        central.heard(link, now)
+        if signal.status:
+            if signal.method == "INVITE":
+                self._answered(now, link, signal)
+        elif signal.method == "BYE":
+            self._bye(now, link, signal)
+        elif signal.method == "NOTIFY" and signal.report and central.leads(link):
+            report = sip.report(signal.report, self.config.fields)
+            central.count("states")
+            self.door.tell(io.Seen(central.index, report, False))
+
+    def _answered(self, now, link, signal):
+        if signal.status < 200:
+            return
+        seizure = link.out.get((signal.call, signal.number))
+        if seizure is None:
+            link.central.count("answers of nothing open")
+            return
+        call, central = seizure.call, link.central
+        if signal.status < 300:
+            if not sip.is_description(signal.body):
+                raise PlatformError("an answer whose description cannot be read", central.name)
+            del link.out[(signal.call, signal.number)]
+            self.send.to_server(link.key, sip.ack(call.text, signal.number, call.number))
+            if seizure.over or call.over:
+                central.count("late answers")
+                self.send.to_server(link.key, sip.bye(call.text, signal.number + 1, call.number, outcomes.CLEARED))
+                if not seizure.over:
+                    self._end(now, seizure, io.CANCELLED, None)
+                return
+            self._stood(now, seizure, signal.body)
+            return
+        del link.out[(signal.call, signal.number)]
+        self.send.to_server(link.key, sip.ack(call.text, signal.number, call.number))
+        if not seizure.over:
+            report = sip.report(signal.report, self.config.fields) if signal.report else None
+            self._end(now, seizure, outcomes.refused(signal.status, signal.note), report)
+
+    def _stood(self, now, seizure, body):
+        call, central = seizure.call, seizure.central
+        self._finish(seizure)
+        lag = now - seizure.sent_at
+        central.count("stood")
+        central.lags.append(lag)
+        self.send.to_caller(call.conn.key, isup.encode(isup.ANSWER, call.id, (isup.DESCRIPTION, body)))
+        call.conn.open.pop(call.id, None)
+        call.central, call.body = central, b""
+        central.standing[call.id] = call
+        self.door.tell(io.Stood(call.index, seizure.number, central.index, lag))
+
+    def _bye(self, now, link, signal):
+        central = link.central
+        self.send.to_server(link.key, sip.heard(signal))
+        try:
+            call = self.calls.get(bytes.fromhex(signal.call))
+        except ValueError:
+            call = None
+        if call is None:
+            central.count("releases of nothing open")
+            return
+        report = sip.report(signal.report, self.config.fields) if signal.report else None
+        seizure = call.seizure
+        if call.central is central:
+            self._end_standing(now, call, outcomes.ended(signal.cause), report)
+            self._release(call, signal.cause or outcomes.CUT)
+        elif seizure is not None and seizure.central is central and not outcomes.of_a_standing(signal.cause):
+            seizure.link.out.pop((call.text, seizure.number + 1), None)
+            self._end(now, seizure, io.RESET, report)
+
+    def _end_standing(self, now, call, outcome, report):
+        """A call that stood is over."""
+        central = call.central
+        central.standing.pop(call.id, None)
+        central.count("completed" if outcome == io.COMPLETED else "cut")
+        self._close(call)
+        if call.index >= 0:
+            self.door.tell(io.Ended(call.index, call.sent - 1, central.index, outcome, 0, 0, True, report))
+            self.done.append(call)
+        self._forget(central)
+
+    def _cut(self, now, central, why):
+        """All calls that stand at a server are over: it was proved dead."""
+        if central.standing:
+            self.send.log("calls cut", server=central.name, calls=len(central.standing), why=why)
+        for call in list(central.standing.values()):
+            self._end_standing(now, call, io.RESET, None)
+            self._release(call, outcomes.CUT)
+
+    # ---- seizures ----
+
+    def _finish(self, seizure):
+        """A seizure's end was found: it is told once, by whoever called this."""
+        seizure.over = True
+        self.timers.cancel(seizure.timer)
+        seizure.timer = None
+        seizure.call.seizure = None
+
+    def _end(self, now, seizure, outcome, report, final=False):
+        self._finish(seizure)
+        call, central = seizure.call, seizure.central
+        call.last, final = outcome, final or call.over
+        if call.over:
+            self.done.append(call)
+        central.count(outcomes.NAMES[outcome])
+        self.door.tell(io.Ended(call.index, seizure.number, central.index, outcome, 0, now - seizure.sent_at, final,
+                                report))
+
+    def _cancel(self, now, seizure, outcome, final):
+        link = seizure.link
+        if link.usable:
+            call = seizure.call
+            self._write(link, sip.cancel(call.text, seizure.number + 1, call.number))
+        self._end(now, seizure, outcome, None, final)
+
+    def timed_out(self, now, seizure):
+        if not seizure.over:
+            self._cancel(now, seizure, io.TIMED_OUT, False)
+
+    # ---- the module ----
+
+    def due(self, now, name):
+        if name == "tend":
+            self._tend(now)
+            self.timers.set(now + TEND_US, self, "tend")
+        else:
+            self.door.tell(io.Due(name))
+
+    def run(self, now, most=1 << 30):
+        return self.timers.run(now, most)
+
+    def flush(self, now):
+        """Hands the events over and carries the actions out until nothing is left to tell."""
+        while self.door.events:
+            for action in self.door.take(now):
+                self._act(now, action)
+        for call in self.done:
+            if call.index >= 0 and call.seizure is None:
+                self.door.release(call.index)
+                call.index = -1
+        self.done.clear()
+
+    def _act(self, now, action):
+        kind = type(action)
+        if kind is io.SetTimer:
+            self.timers.set(action.at_us, self, action.token)
+            return
+        if kind is io.Log:
+            self.send.log("module", text=self._named(action.text))
+            return
+        if kind is io.Follow:
+            return  # the control feed is followed always
+        call = self.door.calls[action.call]
+        if call is None or call.over:
+            return
+        if kind is io.Seize:
+            self._seize(now, call, action)
+        elif kind is io.Cancel:
+            if call.seizure is not None and call.seizure.number == action.seizure:
+                self._cancel(now, call.seizure, io.CANCELLED, True)
+        elif kind is io.Reject:
+            self._answer(call, outcomes.REJECTED, action.comeback_us)
+            self._note("rejected")
+        elif kind is io.Fail:
+            self._answer(call, outcomes.ENGAGED if call.last == io.BUSY else outcomes.FAILED, 0)
+            self._note("failed")
+
+    def _answer(self, call, cause, comeback_us):
+        key = call.conn.key
+        self._close(call)
+        self.send.to_caller(key, isup.release(call.id, cause, comeback_us))
+        self.done.append(call)
+
+    def _seize(self, now, call, action):
+        central = self.by_index[action.server]
+        seizure = call.seizure = Seizure(self, call, call.sent, central, now)
+        call.sent += 1
+        link = central.pick()
+        if link is None:
+            link = self._open(now, central)
+        seizure.link = link
+        link.out[(call.text, seizure.number + 1)] = seizure
+        seizure.timer = self.timers.set(now + max(1, action.timeout_us), seizure, "late")
+        central.count("sent")
+        self._write(link, sip.invite(call.text, seizure.number + 1, call.number, call.kind.name, action.timeout_us,
+                                     call.body))
+
+    def _named(self, text):
+        """A log line of the module's with the server's id in place of its index."""
+        head, space, rest = text.partition(" ")
+        index, colon, tail = rest.partition(":")
+        if head == "server" and index.isdigit() and int(index) in self.by_index:
+            return f"{head} {self.by_index[int(index)].name}{colon}{tail}"
+        return text
+
+    # ---- the look at connections ----
+
+    def _tend(self, now):
+        for central in list(self.centrals.values()):
+            for link in list(central.links):
+                central.forget_given_up(link, now)
+                want = central.quiet(link, now)
+                if want == "ask":
+                    link.asked_at = now
+                    self.pings += 1
+                    self.send.to_server(link.key, sip.options(f"{self.pings:016x}", 1))
+                elif want == "dead":
+                    central.count("silent connections")
+                    self._drop(now, link)
+            if central.is_dark(now):
+                self._cut(now, central, "cannot be reached")
+            if not central.links and central.state != io.GONE and now >= central.again_at:
+                self._open(now, central)
+
+    # ---- counts ----
+
+    def _note(self, what):
+        self.count[what] = self.count.get(what, 0) + 1
+
+    def stop(self):
+        """Tests fail from now on; set-ups that come still are served."""
+        self.stopping = True
+
+    def standing(self):
+        return sum(len(central.standing) for central in self.centrals.values())
+
+    def being_set_up(self):
+        return sum(len(conn.open) for conn in self.conns.values())
--- /dev/null
+++ b/thorndale/platform/links.py
@@ -0,0 +1,99 @@
+"""The connections to one central server: which one a set-up goes by, when one is asked whether it works, and what
+their ends prove of the server. Pure: connections are numbers given out by whoever opens them.
+
+A connection is kept by the server's id and never by its address, since a gone server's address may be a new one's.
+"""
+
+LINKS_MOST = 4  # connections to a server: the protocol's bound for unasked states
+OUT_QUIET_US = 400_000  # us of silence with set-ups out before a connection is asked: some answers take this long
+IDLE_QUIET_US = 2_000_000  # us of silence without: two tellings of a group's state
+ANSWER_US = 500_000  # us in which a working connection answers: ten times the longest way there and back
+DARK_US = 4_000_000  # us without any connection after which calls are held to be over: half of what the pages grant
+AGAIN_US = 50_000  # us from the first loss to the next connection, doubled while they fail
+AGAIN_MOST_US = 1_000_000  # us at most between two tries
+GIVEN_UP_US = 30_000_000  # us for which a set-up given up is remembered, so that its late answer is released
+
+
+class Link:
+    """A connection. `out` is {(call, number): Seizure}, those given up and not answered yet included."""
+
+    __slots__ = ("key", "central", "opened", "usable", "out", "waiting", "heard_at", "asked_at")
+
+    def __init__(self, key, central, now):
+        self.key, self.central, self.opened, self.usable = key, central, False, True
+        self.out, self.waiting = {}, []
+        self.heard_at, self.asked_at = now, 0
+
+
+class Central:
+    """A central server as this proxy knows it. `standing` is {call id: Call}; `passed` counts what went by the
+    sockets, to be held against what the module believes."""
+
+    __slots__ = ("index", "name", "host", "port", "pool", "state", "started", "links", "standing", "dark_since",
+                 "again_at", "fails", "passed", "lags")
+
+    def __init__(self, index, name):
+        self.index, self.name = index, name
+        self.host, self.port, self.pool, self.state, self.started = "", 0, -1, -1, 0
+        self.links, self.standing, self.dark_since = [], {}, 0
+        self.again_at, self.fails = 0, 0
+        self.passed, self.lags = {}, []
+
+    def count(self, what):
+        self.passed[what] = self.passed.get(what, 0) + 1
+
+    def out(self):
+        """Set-ups out at this server, those given up included."""
+        return sum(len(link.out) for link in self.links)
+
+    def pick(self):
+        """The connection for one more set-up, or None where a new one should be opened: the one with the fewest
+        out, so that a spoilt one costs as few others as can be."""
+        links = [link for link in self.links if link.usable]
+        best = min(links, key=lambda link: (len(link.out), not link.opened), default=None)
+        if best is not None and best.out and len(self.links) < LINKS_MOST:
+            return None
+        return best
+
+    def forget_given_up(self, link, now):
+        """Set-ups given up of which nothing was heard since: else each that is never answered stays for good."""
+        old = [key for key, seizure in link.out.items() if seizure.over and now - seizure.sent_at > GIVEN_UP_US]
+        for key in old:
+            del link.out[key]
+
+    def any_open(self):
+        for link in self.links:
+            if link.opened and link.usable:
+                return link
+        return None
+
+    def leads(self, link):
+        """Whether unasked states are taken from this connection: the oldest one open. The same state comes on each,
+        and taken four times it would be four tellings."""
+        return self.any_open() is link
+
+    def opened(self, link, now):
+        link.opened, link.heard_at = True, now
+        self.dark_since = 0
+
+    def heard(self, link, now):
+        link.heard_at, link.asked_at = now, 0
+        self.fails = 0
+
+    def failed(self, now):
+        """A connection was lost or never came up: when the next may be opened."""
+        self.fails += 1
+        self.again_at = now + min(AGAIN_MOST_US, AGAIN_US << min(self.fails - 1, 10))
+        if not self.dark_since and not any(link.opened for link in self.links):
+            self.dark_since = now
+
+    def is_dark(self, now):
+        return self.dark_since > 0 and now - self.dark_since >= DARK_US
+
+    def quiet(self, link, now):
+        """What a connection's silence asks for: '' nothing, 'ask' a test, 'dead' its end."""
+        if not link.opened:
+            return ""
+        if link.asked_at:
+            return "dead" if now - link.asked_at > ANSWER_US else ""
+        return "ask" if now - link.heard_at > (OUT_QUIET_US if link.out else IDLE_QUIET_US) else ""
