Answers matched by Call-ID and method alone; a server that faults on a half stays in use

Seizures of one call were told apart by CSeq's number, which a central server may answer as it likes: the protocol matches by Call-ID and method. So no retry's answer was ever heard (border._answered). A retry now goes by a connection on which nothing of its call is unanswered (Central.pick). Seen too: the larger of two servers answers 50 to 80 % with errors and was 'failed' most of the time, in turn with 'answers again'. Its faults are now held against its own share (policy: faults). Open: the sound server idles while the faulty one is every call's first choice.

--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -226,7 +226,7 @@
         if held is not None and held.central is not None:
             self._note("released by callers")
             central = held.central
-            self._to(now, central, sip.bye(held.text, held.sent + 1, held.number, cause or outcomes.CLEARED))
+            self._to(now, central, sip.bye(held.text, 2, held.number, cause or outcomes.CLEARED))
             self._end_standing(now, held, io.COMPLETED, None)
 
     def _give_up(self, now, held):
@@ -355,7 +355,7 @@
     def _answered(self, now, link, signal):
         if signal.status < 200:
             return
-        seizure = link.out.get((signal.call, signal.number))
+        seizure = link.out.get(signal.call)
         if seizure is None:
             link.central.count("answers of nothing open")
             return
@@ -363,17 +363,18 @@
         if signal.status < 300:
             if not sip.is_description(signal.body):
                 raise PlatformError("an answer whose description cannot be read", central.name)
-            del link.out[(signal.call, signal.number)]
+            del link.out[signal.call]
             self.send.to_server(link.key, sip.ack(call.text, signal.number, call.number))
             if seizure.over or call.over:
                 central.count("late answers")
-                self.send.to_server(link.key, sip.bye(call.text, signal.number + 1, call.number, outcomes.CLEARED))
+                if call.seizure is None or call.seizure.central is not central:  # else it would end that one
+                    self.send.to_server(link.key, sip.bye(call.text, 2, call.number, outcomes.CLEARED))
                 if not seizure.over:
                     self._end(now, seizure, io.CANCELLED, None)
                 return
             self._stood(now, seizure, signal.body)
             return
-        del link.out[(signal.call, signal.number)]
+        del link.out[signal.call]
         self.send.to_server(link.key, sip.ack(call.text, signal.number, call.number))
         if not seizure.over:
             report = sip.report(signal.report, self.config.fields) if signal.report else None
@@ -407,7 +408,7 @@
             self._end_standing(now, call, outcomes.ended(signal.cause), report)
             self._release(call, signal.cause or outcomes.CUT)
         elif seizure is not None and seizure.central is central and not outcomes.of_a_standing(signal.cause):
-            seizure.link.out.pop((call.text, seizure.number + 1), None)
+            seizure.link.out.pop(call.text, None)
             self._end(now, seizure, io.RESET, report)
 
     def _end_standing(self, now, call, outcome, report):
@@ -452,7 +453,7 @@
         link = seizure.link
         if link.usable:
             call = seizure.call
-            self._write(link, sip.cancel(call.text, seizure.number + 1, call.number))
+            self._write(link, sip.cancel(call.text, 1, call.number))
         self._end(now, seizure, outcome, None, final)
 
     def timed_out(self, now, seizure):
@@ -517,15 +518,12 @@
         central = self.by_index[action.server]
         seizure = call.seizure = Seizure(self, call, call.sent, central, now)
         call.sent += 1
-        link = central.pick()
-        if link is None:
-            link = self._open(now, central)
+        link = central.pick(call.text) or self._open(now, central)
         seizure.link = link
-        link.out[(call.text, seizure.number + 1)] = seizure
+        link.out[call.text] = seizure
         seizure.timer = self.timers.set(now + max(1, action.timeout_us), seizure, "late")
         central.count("sent")
-        self._write(link, sip.invite(call.text, seizure.number + 1, call.number, call.kind.name, action.timeout_us,
-                                     call.body))
+        self._write(link, sip.invite(call.text, 1, call.number, call.kind.name, action.timeout_us, call.body))
 
     def _named(self, text):
         """A log line of the module's with the server's id in place of its index."""
--- a/thorndale/platform/links.py
+++ b/thorndale/platform/links.py
@@ -15,7 +15,8 @@
 
 
 class Link:
-    """A connection. `out` is {(call, number): Seizure}, those given up and not answered yet included."""
+    """A connection. `out` is {call: Seizure}, those given up and not answered yet included: answers are matched by
+    Call-ID and method alone, and a server may answer each with the same CSeq number."""
 
     __slots__ = ("key", "central", "opened", "usable", "out", "waiting", "heard_at", "asked_at")
 
@@ -46,10 +47,11 @@
         """Set-ups out at this server, those given up included."""
         return sum(len(link.out) for link in self.links)
 
-    def pick(self):
-        """The connection for one more set-up, or None where a new one should be opened: the one with the fewest
-        out, so that a spoilt one costs as few others as can be."""
-        links = [link for link in self.links if link.usable]
+    def pick(self, call):
+        """The connection for a set-up of this call, or None where a new one should be opened: the one with the
+        fewest out, so that a spoilt one costs as few others as can be, and none on which an earlier set-up of the
+        call has no answer, as the two could not be told apart."""
+        links = [link for link in self.links if link.usable and call not in link.out]
         best = min(links, key=lambda link: (len(link.out), not link.opened), default=None)
         if best is not None and best.out and len(self.links) < LINKS_MOST:
             return None
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -46,6 +46,7 @@
 PART_LEAST = 0.005  # least part reckoned with: below it what comes is chance
 FLOW_PART = 0.1  # weight of a telling in a server's mean inflow: some ten tellings, the design's window
 LOSS_PART = 0.15  # weight of a seizure in the share found lost: some seven
+FAULT_PART = 0.05  # weight of a seizure in the share found faulty: some twenty, slower than the test
 LOSSY = 0.1  # share lost from which one unanswered set-up tells nothing
 QUOTA_US = 1_000_000  # us of a client's quota part that may come at once
 FAULT_ODDS = 0.3  # chance of a fault at a sound server: callers may send this many that no server can use
@@ -60,6 +61,7 @@
     lag=0, least=1 << 60,  # last lag of an answer, least
     silent=0, sent_at=0,  # seizures sent since the last answer, when the last one was
     score=0.0, loss=0.0,  # log odds that it failed; share of set-ups lost though later ones were answered
+    faults=FAULT_ODDS,  # share of set-ups answered with an error, and never below what callers may cause
     cut_at=-SLOT_US,  # when a call that stood was last cut alone
     credit=0.0, credit_at=0,  # set-ups that may go while it is cold, since when
     used=0, used_at=0,  # lines in use as last told, when
@@ -267,6 +269,7 @@
         self.least[s] = min(self.least[s], event.lag_us)
         self.lag[s] = event.lag_us
         self.loss[s] -= self.loss[s] * LOSS_PART
+        self.faults[s] = max(FAULT_ODDS, self.faults[s] * (1 - FAULT_PART))
         if sent:  # what was sent before it and has no answer was lost on the way: it tells no wait
             for call in [call for call, at in self.out[s].items() if at < sent]:
                 del self.out[s][call]
@@ -296,7 +299,8 @@
         if event.outcome in (io.FULL, io.BUSY, io.FAULTY):
             self.silent[s] = 0
         if event.outcome == io.FAULTY:  # it may be the call's own, and was answered
-            self._outcome(s, True, FAULT_ODDS)
+            self._outcome(s, True, self.faults[s])
+            self.faults[s] += (1 - self.faults[s]) * FAULT_PART
         if event.outcome == io.FULL:
             self._observe(s, max(self._wait(s), event.wait_us, 2 * self.limit), self.now)
         if event.outcome == io.EMPTY:
