A server that mostly faults comes after the others, by its share of faults

Its share of faults over what callers may cause now draws whether it comes after the others; where these have no room it is tried all the same.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -218,6 +218,20 @@
     assert failing == 0
 
 
+def test_a_server_that_mostly_faults_comes_after_the_others():
+    bench, at = Bench(), [0, 0]
+    for _ in range(300):
+        for action in bench.call(0):
+            if type(action) is io.Seize:
+                at[action.server] += 1
+                if action.server == 0 and at[0] % 5:
+                    bench.ended(action.call, 0, io.FAULTY, lag=5 * MS)
+                else:
+                    bench.stood(action.call, action.server)
+        bench.later(50 * MS)
+    assert at[1] > at[0] > 20
+
+
 def test_a_late_set_up_that_others_overtook_is_lost_alone_and_speaks_of_no_failed_server():
     bench = Bench()
     bench.warm(20)
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -430,11 +430,19 @@
         open_ = [s for s in servers if self._has_room(s)]
         fit = [s for s in open_ if s != avoid and max(self.skip_until[s], self.empty_until[s]) <= self.now
                and self.free[s] != 0]
+        fit.sort(key=self._faulty)
         for s in fit or open_:
             if self._admits(s, held):
                 return s
         return -1
 
+    def _faulty(self, s):
+        """Whether server s comes after the others for this call: drawn by its share of faults over what callers
+        may cause. Guards against errors that come fast and draw all traffic; harms nothing where the others
+        have no room, since it is tried after them."""
+        over = (self.faults[s] - FAULT_ODDS) / (1 - FAULT_ODDS)
+        return over > 0 and self._chance() < over
+
     def _plan(self, held):
         """Sets the wanted state of a call that something has happened to."""
         if held.want in ("reject", "fail"):
