A connection that falls silent is found within 0.6 s, and a new one opened where calls stand

A central server sends a release on the connection of its set-up; on one that had fallen silent it was never heard, and it is sent again only on the next that is opened (border._unlink opened one only where none was left; links.quiet took 0.9 s with set-ups out, 2.5 s without). A connection in use is asked after 0.25 s and has 0.3 s to answer; any unclean end with calls standing opens another.

--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -19,7 +19,7 @@
 from thorndale.platform.links import Central, Link
 from thorndale.timers import Timers
 
-TEND_US = 100_000  # us between two looks at the connections to central servers
+TEND_US = 50_000  # us between two looks at the connections to central servers
 RELEASES_KEPT = 20_000  # releases that wait for a connection from callers at most: as many as calls may stand
 
 
@@ -333,8 +333,8 @@
             self._cut(now, central, "refuses connections")
         if central.state == io.GONE:
             self._gone(now, central)
-        elif central.standing and not central.links and kind in ("lost", "spoilt") and central.fails < 2:
-            self._open(now, central)
+        elif central.standing and kind in ("lost", "spoilt") and (central.fails < 2 or central.links):
+            self._open(now, central)  # a release sent on the old one is sent again on the next that is opened
 
     def server_signal(self, now, key, signal):
         link = self.links.get(key)
--- a/thorndale/platform/links.py
+++ b/thorndale/platform/links.py
@@ -5,9 +5,10 @@
 """
 
 LINKS_MOST = 4  # connections to a server: the protocol's bound for unasked states
-OUT_QUIET_US = 400_000  # us of silence with set-ups out before a connection is asked: some answers take this long
-IDLE_QUIET_US = 2_000_000  # us of silence without: two tellings of a group's state
-ANSWER_US = 500_000  # us in which a working connection answers: ten times the longest way there and back
+USED_QUIET_US = 250_000  # us of silence with calls out or standing before a connection is asked: a release sent on
+# one that has fallen silent must be heard by another within 1 s
+IDLE_QUIET_US = 2_000_000  # us of silence without any: some tellings of a group's state
+ANSWER_US = 300_000  # us in which a working connection answers: six times the longest way there and back
 DARK_US = 4_000_000  # us without any connection after which calls are held to be over: half of what the pages grant
 AGAIN_US = 50_000  # us from the first loss to the next connection, doubled while they fail
 AGAIN_MOST_US = 1_000_000  # us at most between two tries
@@ -98,4 +99,5 @@
             return ""
         if link.asked_at:
             return "dead" if now - link.asked_at > ANSWER_US else ""
-        return "ask" if now - link.heard_at > (OUT_QUIET_US if link.out else IDLE_QUIET_US) else ""
+        used = link.out or self.standing
+        return "ask" if now - link.heard_at > (USED_QUIET_US if used else IDLE_QUIET_US) else ""
