A report that differs in any figure is taken: an idle server's zero counts

The wait came of one late answer on the only set-up out. Reports with the same wait as the last were passed over (policy._report), so an idle server's 0 never counted again. Now the whole report is compared.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -263,6 +263,19 @@
     assert bench.proxy.demand[0] <= 2 * before and bench.proxy.part[0] == 1.0
 
 
+def test_an_idle_servers_zero_counts_though_it_was_told_before():
+    bench = Bench(1)
+    for free, wait in ((100, 0), (99, 0)):
+        bench.give(io.Seen(0, io.Report(free, 200, wait, None), False))
+        bench.later(S)
+    bench.proxy._observe(0, 1200 * MS, bench.now)
+    bench.later(S)
+    bench.give(io.Seen(0, io.Report(99, 200, 0, None), False))  # the same report again may be an old one
+    assert bench.proxy._wait(0) >= 900 * MS
+    bench.give(io.Seen(0, io.Report(98, 200, 0, None), False))
+    assert bench.proxy._wait(0) == 0
+
+
 def telling(bench, free, lines=200, server=0):
     bench.later(S)
     bench.give(io.Seen(server, io.Report(free, lines, None, None), False))
--- a/thorndale/platform/beliefs.py
+++ b/thorndale/platform/beliefs.py
@@ -14,7 +14,7 @@
             "state": module.state[s],
             "believed": {
                 "wait_ms": module.wait[s] // 1000, "wait_age_ms": (now - module.wait_at[s]) // 1000,
-                "told_ms": None if module.told[s] is None else module.told[s] // 1000,
+                "told_ms": None if module.told[s] is None else module.told[s].wait_us // 1000,
                 "free": module.free[s], "part": round(module.part[s], 3), "open": round(module.open[s], 3),
                 "score": round(module.score[s], 2), "loss": round(module.loss[s], 3), "silent": module.silent[s],
                 "out": len(module.out[s]),
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -57,7 +57,7 @@
 FIGURES = dict(
     state=io.SERVING, pool=-1, started=0, free=None, rate=0.0,  # as told
     skip_until=0, empty_until=0, slot=0,  # us; number of the window's last slot
-    wait=0, wait_at=0, told=None,  # wait last seen, when what met it was sent; wait last reported
+    wait=0, wait_at=0, told=None,  # wait last seen, when what met it was sent; last report
     lag=0, least=1 << 60,  # last lag of an answer, least
     silent=0, sent_at=0,  # seizures sent since the last answer, when the last one was
     score=0.0, loss=0.0,  # log odds that it failed; share of set-ups lost though later ones were answered
@@ -204,8 +204,8 @@
             if report.free > 0:
                 self.empty_until[s] = 0
         self.rate[s] = report.rate or self.rate[s]
-        if report.wait_us is not None and report.wait_us != self.told[s]:
-            self.told[s] = report.wait_us
+        if report.wait_us is not None and report != self.told[s]:  # another one: an idle server tells 0 again
+            self.told[s] = report
             self._observe(s, report.wait_us, self.now - REPORT_US)
 
     def _observe(self, s, wait, at):
