--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -234,6 +234,15 @@
     assert at[1] > at[0] > 20
 
 
+def test_a_skipped_server_is_tried_when_the_others_have_no_room():
+    bench = Bench()
+    bench.warm(5)
+    bench.proxy.skip_until[0] = bench.now + S
+    assert bench.call(0)[0].server == 1
+    bench.proxy._observe(1, 5 * S, bench.now)
+    assert bench.call(0)[0].server == 0
+
+
 def test_a_late_set_up_that_others_overtook_is_lost_alone_and_speaks_of_no_failed_server():
     bench = Bench()
     bench.warm(20)
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -421,17 +421,18 @@
         return self.score[s] < FAILED_AT or self._trial_due(s)
 
     def _route(self, held, avoid=-1):
-        """First choice unless skipped, told empty or barred by a guard, else the others in turn; -1: none."""
+        """First choice unless skipped, told empty or barred by a guard, else the others in turn, else a skipped
+        one, for the others may have no room; -1: none."""
         pools = self.settings["type_pools"]
         allowed = pools[held.kind] if held.kind < len(pools) else list(self.by_pool)
         start = int(self._chance() * len(allowed))  # or all that leave one pool would come to the next
         turn = sorted(allowed[start:] + allowed[:start], key=lambda p: p != held.pool)
         servers = [s for p in turn for s in self.by_pool.get(p, ())]
         open_ = [s for s in servers if self._has_room(s)]
-        fit = [s for s in open_ if s != avoid and max(self.skip_until[s], self.empty_until[s]) <= self.now
-               and self.free[s] != 0]
+        lined = [s for s in open_ if s != avoid and self.empty_until[s] <= self.now and self.free[s] != 0]
+        fit = [s for s in lined if self.skip_until[s] <= self.now]
         fit.sort(key=self._faulty)
-        for s in fit or open_:
+        for s in fit + [s for s in lined if s not in fit] or open_:
             if self._admits(s, held):
                 return s
         return -1
