--- a/tests/platform/test_central.py
+++ b/tests/platform/test_central.py
@@ -6,6 +6,7 @@
 from platform_rig import ANSWER
 
 from thorndale.platform import central as sip
+from thorndale.platform.description import is_description
 
 OK = (b"SIP/2.0 200 OK\r\nVia: x\r\nCall-ID: 9b1f03aa5c7e2d41\r\nCSeq: 1 INVITE\r\nContent-Length: %d\r\n\r\n"
       % len(ANSWER)) + ANSWER
@@ -61,4 +62,4 @@
     assert lines[0] == b"INVITE sip:7f3a9c21e0b4d655@net SIP/2.0" and body == ANSWER
     assert {b"Call-ID: 9b1f03aa5c7e2d41", b"CSeq: 1 INVITE", b"Call-Kind: voice", b"Answer-Within: 1500",
             b"Content-Length: %d" % len(ANSWER)} <= set(lines)
-    assert not sip.is_description(ANSWER[:-3]) and sip.is_description(ANSWER)
+    assert not is_description(ANSWER[:-3]) and is_description(ANSWER)
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -14,6 +14,7 @@
 from thorndale.door import Door
 from thorndale.platform import central as sip
 from thorndale.platform import isup, outcomes
+from thorndale.platform.description import is_description
 from thorndale.platform.errors import PlatformError
 from thorndale.platform.feed import fold
 from thorndale.platform.links import Central, Link
@@ -361,7 +362,7 @@
             return
         call, central = seizure.call, link.central
         if signal.status < 300:
-            if not sip.is_description(signal.body):
+            if not is_description(signal.body):
                 raise PlatformError("an answer whose description cannot be read", central.name)
             del link.out[signal.call]
             self.send.to_server(link.key, sip.ack(call.text, signal.number, call.number))
--- a/thorndale/platform/central.py
+++ b/thorndale/platform/central.py
@@ -12,7 +12,6 @@
 from thorndale.sip.errors import SipError
 
 MOST = 16_384  # bytes of a message: the protocol's bound
-_DESCRIPTION = re.compile(rb"[0-9a-f]{16}\r\n(?:[a-z]=[\x20-\x7e]{1,200}\r\n){2,20}")
 _CAUSE = re.compile(r"Q\.850\s*;\s*cause=(\d{1,3})", re.I)
 ANSWERED = frozenset(("INVITE", "CANCEL", "BYE", "OPTIONS", "ACK"))
 
@@ -66,11 +65,6 @@
     return Signal(method, m.status, m.call_id, number, cause, m.get("fail-word"), m.get("link-state"), m.body)
 
 
-def is_description(body):
-    """Whether an answer's description is whole and readable."""
-    return _DESCRIPTION.fullmatch(body) is not None
-
-
 def report(text, names):
     """A Link-State as the module's Report; `names` are the settings' words for the fields. A part that cannot be
     read is as one not told."""
--- /dev/null
+++ b/thorndale/platform/description.py
@@ -0,0 +1,10 @@
+"""A call's description: its tag, then lines of text, as the platform's callers and central servers write it."""
+
+import re
+
+_FORM = re.compile(rb"[0-9a-f]{16}\r\n(?:[a-z]=[\x20-\x7e]{1,200}\r\n){2,20}")
+
+
+def is_description(body):
+    """Whether it is whole and readable."""
+    return _FORM.fullmatch(body) is not None
--- a/thorndale/platform/isup.py
+++ b/thorndale/platform/isup.py
@@ -11,6 +11,7 @@
 from math import isfinite
 from typing import NamedTuple
 
+from thorndale.platform.description import is_description
 from thorndale.platform.errors import PlatformError
 
 MOST = 16_384  # bytes of a message: the protocol's bound
@@ -19,8 +20,6 @@
 KINDS = frozenset((SETUP, PROGRESS, ANSWER, RELEASE, HEARD, STATE, TEST, RESULT))
 TYPE, WITHIN, REDIAL, NUMBER, FIGURES, COMEBACK, CAUSE, DESCRIPTION = 129, 131, 135, 137, 139, 141, 157, 159
 NEEDED = (TYPE, WITHIN, NUMBER, FIGURES, DESCRIPTION)
-# The tag of the call, then lines of text as the platform's servers read them.
-_DESCRIPTION = re.compile(rb"[0-9a-f]{16}\r\n(?:[a-z]=[\x20-\x7e]{1,200}\r\n){2,20}")
 _NUMBER = re.compile(rb"[0-9a-f]{16}")
 _SERVER = re.compile(r"s-[0-9a-f]{8}")
 
@@ -149,7 +148,7 @@
         raise PlatformError(f"no such class: {found[TYPE][:20]!r}", "class")
     if not _NUMBER.fullmatch(found[NUMBER]):
         raise PlatformError("not 16 hex digits", "number")
-    if not _DESCRIPTION.fullmatch(found[DESCRIPTION]):
+    if not is_description(found[DESCRIPTION]):
         raise PlatformError("cannot be read", "description")
     if found.get(REDIAL, b"1") not in (b"0", b"1"):
         raise PlatformError("neither 0 nor 1", "redial")
