--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -421,8 +421,8 @@
         return self.score[s] < FAILED_AT or self._trial_due(s)
 
     def _route(self, held, avoid=-1):
-        """First choice unless skipped, told empty or barred by a guard, else the others in turn, else a skipped
-        one, for the others may have no room; -1: none."""
+        """First choice unless skipped, told empty or barred by a guard, else the others in turn, else a
+        skipped one, for the others may have no room; -1: none."""
         pools = self.settings["type_pools"]
         allowed = pools[held.kind] if held.kind < len(pools) else list(self.by_pool)
         start = int(self._chance() * len(allowed))  # or all that leave one pool would come to the next
@@ -438,9 +438,9 @@
         return -1
 
     def _faulty(self, s):
-        """Whether server s comes after the others for this call: drawn by its share of faults over what callers
-        may cause. Guards against errors that come fast and draw all traffic; harms nothing where the others
-        have no room, since it is tried after them."""
+        """Whether server s comes after the others for this call: drawn by its share of faults over what
+        callers may cause. Guards against errors that come fast and draw all traffic; harms nothing where the
+        others have no room, since it is tried after them."""
         over = (self.faults[s] - FAULT_ODDS) / (1 - FAULT_ODDS)
         return over > 0 and self._chance() < over
 
