One timer on the loop for every host: net/alarm, and the clock in a room of its own

Seen in a list of same places: node/shell and net/ends armed the loop's timer by the same eight lines. Alarm does it for both; what each does when late stays with it (ends reads datagrams, the shell turns the loop). now_us is net/clock's, so that alarm imports no shell. Central.out was used by nobody.

--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -8,7 +8,8 @@
 import uvloop
 
 from thorndale.config.settings import Limits
-from thorndale.net.ends import Ends, now_us
+from thorndale.net.clock import now_us
+from thorndale.net.ends import Ends
 from thorndale.sip.transaction import Hop
 from thorndale.timers import Timers
 
--- a/tests/records/test_hand.py
+++ b/tests/records/test_hand.py
@@ -12,7 +12,7 @@
 from records.proxy import Recorder
 
 from thorndale.config.settings import Records
-from thorndale.net.ends import now_us
+from thorndale.net.clock import now_us
 from thorndale.records.files import Files
 from thorndale.records.read import lines
 from thorndale.records.record import Record
--- a/thorndale/daemon/run.py
+++ b/thorndale/daemon/run.py
@@ -14,7 +14,8 @@
 from thorndale.config.load import ConfigError, listener, matching
 from thorndale.daemon import keep
 from thorndale.daemon.log import open_log
-from thorndale.net.ends import Ends, now_us
+from thorndale.net.clock import now_us
+from thorndale.net.ends import Ends
 from thorndale.records.hide import hider
 from thorndale.records.store import StoreError, open_store
 
--- a/thorndale/net/ends.py
+++ b/thorndale/net/ends.py
@@ -1,7 +1,7 @@
 """All sockets of one element behind one `send`, and its one timer on the loop's clock in whole microseconds."""
 
-import time
-
+from thorndale.net.alarm import Alarm
+from thorndale.net.clock import now_us
 from thorndale.net.tcp import Tcp
 from thorndale.net.udp import Udp
 
@@ -9,11 +9,6 @@
 SWEEP_S = 1.0
 
 
-def now_us():
-    """The clock that all times inside are told by: it only advances, and is the same in all processes here."""
-    return time.monotonic_ns() // 1000
-
-
 class Ends:
     """Carries bytes between sockets and a core that has `receive(now, data, hop, stream)`, `lost(now, hop, kind)`,
     `run(now, most)`, `flush(now)`, `late(now, us)` and `timers`.
@@ -26,8 +21,7 @@
         self.loop, self.limits, self.core = loop, limits, core
         self.udp, self.tcp = [], Tcp(loop, limits, self._stream, self._lost, self.batch)
         self.by_family = {}
-        self.handle, self.handle_at, self.sweeper = None, 0, None
-        self.closed = False
+        self.alarm, self.sweeper, self.closed = None, None, False
 
     def open(self, listeners):
         """Opens all or none. Raises OSError with `filename` set to the listener's name."""
@@ -76,18 +70,12 @@
         self.arm()
 
     def arm(self):
-        at = self.core.timers.next_at()
-        if at is None or (self.handle is not None and self.handle_at <= at):
-            return
-        if self.handle is not None:
-            self.handle.cancel()
-        self.handle_at = at
-        self.handle = self.loop.call_later(max(0.0, (at - now_us()) / 1e6), self._due)
+        if self.alarm is None:  # the core is given after this was made
+            self.alarm = Alarm(self.loop, self.core.timers, self._due)
+        self.alarm.arm()
 
-    def _due(self):
-        self.handle = None
+    def _due(self, late):
         now = now_us()
-        late = now - self.handle_at
         if late > READ_FIRST_US:
             self.core.late(now, late)
             for udp in self.udp:
@@ -100,9 +88,10 @@
 
     async def close(self):
         self.closed = True
-        for handle in (self.handle, self.sweeper):
-            if handle is not None:
-                handle.cancel()
+        if self.alarm is not None:
+            self.alarm.stop()
+        if self.sweeper is not None:
+            self.sweeper.cancel()
         await self.tcp.close()
         for udp in self.udp:
             udp.close()
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -9,7 +9,8 @@
 
 import uvloop
 
-from thorndale.net.ends import now_us
+from thorndale.net.alarm import Alarm
+from thorndale.net.clock import now_us
 from thorndale.net.tcp import Stream, Tcp
 from thorndale.node.follow import Follower
 from thorndale.node.log import Say
@@ -61,8 +62,8 @@
         self.servers = Tcp(loop, Bounds(servers, connect_ms, partial_ms=SERVER_PARTIAL_MS), self._signal, self._lost,
                            self.batch, Stream(central.Framer, faults, SERVER_READ, "unreached", "spoilt"),
                            self._opened)
-        self.feed, self.handle, self.handle_at, self.late_us = None, None, 0, 0
-        self.handles = {}
+        self.alarm = Alarm(loop, self.core.timers, self._due)
+        self.feed, self.late_us, self.handles = None, 0, {}
 
     def open(self):
         """Raises OSError where the address cannot be had."""
@@ -135,33 +136,22 @@
 
     def batch(self):
         self.core.flush(now_us())
-        self.arm()
+        self.alarm.arm()
 
     # ---- timers ----
 
-    def arm(self):
-        at = self.core.timers.next_at()
-        if at is None or (self.handle is not None and self.handle_at <= at):
-            return
-        if self.handle is not None:
-            self.handle.cancel()
-        self.handle_at = at
-        self.handle = self.loop.call_later(max(0.0, (at - now_us()) / 1e6), self._due, 0)
-
-    def _due(self, turns):
+    def _due(self, late, turns=0):
         """What fell due while bytes lie unread is no time-out: when late, the loop reads first."""
-        late = now_us() - self.handle_at
         self.late_us = max(self.late_us, late)
         if late > READ_FIRST_US and turns < READ_TURNS:
-            self.handle = self.loop.call_soon(self._due, turns + 1)
+            self.handles["read first"] = self.loop.call_soon(self._due, late, turns + 1)
             return
-        self.handle = None
         try:
             now = now_us()
             self.core.run(now)
             self.core.flush(now)
         finally:
-            self.arm()
+            self.alarm.arm()
 
     def _sweep(self):
         self.callers.sweep(SILENT_MS)
@@ -206,9 +196,9 @@
         await asyncio.sleep(LOOK_S)
 
     async def close(self):
-        for handle in (*self.handles.values(), self.handle):
-            if handle is not None:
-                handle.cancel()
+        self.alarm.stop()
+        for handle in self.handles.values():
+            handle.cancel()
         await self.feed.close()
         await self.servers.close()
         await self.callers.close()
--- a/thorndale/platform/links.py
+++ b/thorndale/platform/links.py
@@ -44,10 +44,6 @@
     def count(self, what):
         self.passed[what] = self.passed.get(what, 0) + 1
 
-    def out(self):
-        """Set-ups out at this server, those given up included."""
-        return sum(len(link.out) for link in self.links)
-
     def pick(self, call):
         """The connection for a set-up of this call, or None where a new one should be opened: the one with the
         fewest out, so that a spoilt one costs as few others as can be, and none on which an earlier set-up of the
--- a/thorndale/standins/agent.py
+++ b/thorndale/standins/agent.py
@@ -1,6 +1,7 @@
 """A user agent for stand-ins: sockets of its own, a transaction layer, and each message shown to the auditor."""
 
-from thorndale.net.ends import Ends, now_us
+from thorndale.net.clock import now_us
+from thorndale.net.ends import Ends
 from thorndale.sip import message as m
 from thorndale.sip.errors import SipError
 from thorndale.sip.transaction import Hop, Layer, Times
--- a/thorndale/standins/box.py
+++ b/thorndale/standins/box.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from thorndale.net.ends import now_us
+from thorndale.net.clock import now_us
 from thorndale.sip.dialog import Dialog, via_text
 from thorndale.sip.errors import SipError
 from thorndale.standins.agent import Agent
--- a/thorndale/standins/day.py
+++ b/thorndale/standins/day.py
@@ -15,7 +15,7 @@
 import uvloop
 
 from thorndale.config.settings import Limits
-from thorndale.net.ends import now_us
+from thorndale.net.clock import now_us
 from thorndale.sip.transaction import Times
 from thorndale.standins.audit import RULES, Auditor
 from thorndale.standins.box import Box
