A release heard before its call is told is kept; a moved server is asked at its new address

Seen by reading the change: after a restart a server may repeat a release before callers tell what stands (border._bye forgot it, the call would stand for good); _list dropped connections before the new address was known, so calls that stand were asked after at the old one; Call.last held a time, then an outcome.

--- a/tests/platform/test_platform_border.py
+++ b/tests/platform/test_platform_border.py
@@ -302,6 +302,31 @@
     assert rig.got["d"][-1][1] == gone and rig.got["d"][-1][0] == isup.RELEASE
 
 
+def test_a_release_that_came_before_the_caller_told_of_its_call_is_passed_on_when_it_does():
+    rig = Rig()
+    rig.up()
+    key = next(k for k, link in rig.core.links.items() if link.central.name == "s-0000000a")
+    call = (77).to_bytes(8, "big")
+    rig.bye(key, call, 16)
+    rig.setup(call=call, figures=b"dest:0;width:1;at:s-0000000a")
+    assert rig.got["c"] == [(isup.RELEASE, call, {isup.CAUSE: b"\x10"})] and not rig.core.standing()
+    rig.later(31 * S)
+    rig.bye(key, (78).to_bytes(8, "big"))
+    assert list(rig.core.early) == [(78).to_bytes(8, "big")]
+
+
+def test_a_server_that_moved_is_asked_after_its_calls_at_the_new_address_alone():
+    rig = Rig()
+    rig.up()
+    rig.setup(figures=b"dest:0;width:1")
+    key, invite = rig.last_invite()
+    rig.answer(key, invite)
+    before = len(rig.dialled)
+    rig.listed(2, entry("s-0000000a", "127.0.1.7", io.SERVING))
+    rig.later(S)
+    assert {host for _, host, _ in rig.dialled[before:]} == {"127.0.1.7"} and rig.core.standing() == 1
+
+
 def test_a_release_by_the_caller_of_a_call_that_stands_goes_to_its_server():
     rig = Rig()
     rig.up()
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -22,6 +22,7 @@
 
 TEND_US = 50_000  # us between two looks at the connections to central servers
 RELEASES_KEPT = 20_000  # releases that wait for a connection from callers at most: as many as calls may stand
+EARLY_US = 30_000_000  # us for which a release of a call that is not known is kept, for the call may yet be told
 
 
 class Send:
@@ -83,6 +84,7 @@
         self.conns, self.calls, self.links = {}, {}, {}  # by connection; by id, being set up and standing; by key
         self.centrals, self.by_index, self.servers = {}, {}, 0
         self.unsent, self.done, self.last_conn = deque(), [], None
+        self.early, self.early_at = {}, deque()  # id: (central's name, cause); (when to forget, id)
         self.stopping, self.pings = False, 0
         self.kinds = {kind.index: kind for kind in config.kinds.values()}
         self.count = {}
@@ -113,11 +115,12 @@
             started = max(1, entry.started_ms * 1000 - self.offset) if entry.started_ms else 0
             if central.started != started and central.state >= 0 and entry.state == io.SERVING:
                 self._cut(now, central, "started anew")
-            if (central.host, central.port) != (entry.host, entry.port) and central.links:
-                for link in list(central.links):
-                    self._drop(now, link)
+            moved = (central.host, central.port) != (entry.host, entry.port)
             central.host, central.port, central.pool = entry.host, entry.port, entry.pool
             central.state, central.started = entry.state, started
+            if moved:  # after the new address is known, for calls that stand are asked after there
+                for link in list(central.links):
+                    self._drop(now, link)
             told.append(io.Server(central.index, central.pool, entry.state, started))
         for central in list(self.centrals.values()):
             if whole and central.name not in named and central.state != io.GONE:
@@ -192,7 +195,6 @@
             raise PlatformError("the id is another call's", "set-up")
         conn.good, self.last_conn = True, conn.key
         held = Call(conn, call, setup, kind)
-        held.last = now + setup.within_us
         held.index = self.door.number(held)
         self.calls[call] = conn.open[call] = held
         self._note("set-ups")
@@ -207,8 +209,9 @@
         conn.good, self.last_conn = True, conn.key
         self._note("taken up")
         central = self.centrals.get(setup.at)
-        if central is None:  # its server is gone, so it is over
-            self.send.to_caller(conn.key, isup.release(call, outcomes.CUT))
+        name, cause = self.early.get(call, ("", outcomes.CUT))
+        if central is None or name == setup.at:  # its server is gone, or has released it before this was told
+            self.send.to_caller(conn.key, isup.release(call, cause if name else outcomes.CUT))
             return
         held = Call(conn, call, setup, kind)
         held.central = central
@@ -273,6 +276,8 @@
             self.send.to_caller(key, isup.release(held.id, cause))
         elif len(self.unsent) < RELEASES_KEPT:
             self.unsent.append((held.id, cause))
+        else:
+            self._note("releases given up")
 
     # ---- central servers ----
 
@@ -314,7 +319,8 @@
 
     def _drop(self, now, link):
         """Ends a connection from here; set-ups open on it are given up."""
-        self.links.pop(link.key, None)
+        if self.links.pop(link.key, None) is None:
+            return
         self.send.end_server(link.key)
         self._unlink(now, link, "lost")
 
@@ -397,11 +403,13 @@
         central = link.central
         self.send.to_server(link.key, sip.heard(signal))
         try:
-            call = self.calls.get(bytes.fromhex(signal.call))
+            known = bytes.fromhex(signal.call)
         except ValueError:
-            call = None
+            known = b""
+        call = self.calls.get(known)
         if call is None:
             central.count("releases of nothing open")
+            self._keep_early(now, central, known, signal.cause or outcomes.CUT)
             return
         report = sip.report(signal.report, self.config.fields) if signal.report else None
         seizure = call.seizure
@@ -412,6 +420,14 @@
             seizure.link.out.pop(call.text, None)
             self._end(now, seizure, io.RESET, report)
 
+    def _keep_early(self, now, central, call, cause):
+        """After a restart a server repeats what it could not release before callers have told what stands."""
+        while self.early_at and (self.early_at[0][0] <= now or len(self.early_at) >= RELEASES_KEPT):
+            self.early.pop(self.early_at.popleft()[1], None)
+        if call not in self.early:
+            self.early[call] = central.name, cause
+            self.early_at.append((now + EARLY_US, call))
+
     def _end_standing(self, now, call, outcome, report):
         """A call that stood is over."""
         central = call.central
