Connections are opened without the resolver: one thread, no look-up for each server

Seen: a system-call trace of the deploy file's run line, played by the stand-in (calls, reset connections, bad callers, SIGHUP, SIGTERM), had five threads, and 188 futex calls spread evenly over four of them named libuv-worker; unicodedata.so was loaded just before the first. Lines at fault: net/tcp.py's sock_connect, which in uvloop 0.23 awaits getaddrinfo for every address that is not AF_UNIX, also one in figures (its loop.pyx, sock_connect).

Checked and ruled out: UV_USE_IO_URING=0 does not keep libuv's one io_uring_setup from being tried (167 ring calls with it, as without); with ENOSYS injected for it libuv goes on with epoll_ctl.

The change: connect_ex and one writer on the loop; the host must be in figures, or connect_ex would look it up and block. No fork, splice, sendfile, no IPv6, no other program; AF_UNIX is asyncio's pair to itself.

Tests: the running proxy has one task and no child, and a name is not looked up; both fail before.

--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -203,3 +203,13 @@
         assert caught.value.filename == f"tcp:127.0.0.1:{number}"
         await other.close()
     on_loop(test)
+
+
+@pytest.mark.parametrize(("host", "kind"), [("localhost", "unreached"), ("127.0.0.1", "refused")])
+def test_a_name_is_never_looked_up_and_a_refused_connection_is_told_as_such(host, kind):
+    async def test(ends, core, number):
+        ends.tcp.stream = ends.tcp.stream._replace(unreached="unreached")
+        hop = ends.tcp.connect(host, port())
+        await until(lambda: core.failed)
+        assert core.failed == [(hop, kind)] and not ends.tcp.by_hop
+    on_loop(test)
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -111,6 +111,20 @@
     play(test, tmp_path)
 
 
+def test_it_is_one_thread_and_starts_no_process(tmp_path):
+    async def test(p):
+        for s in p.servers:
+            s.cut()  # connections are opened anew
+        caller = await p.caller()
+        calls = [caller.setup(call_id(n)) for n in range(20)]
+        await until(lambda: all(over(caller, call) for call in calls))
+        of = f"/proc/{p.process.pid}/task"
+        assert os.listdir(of) == [str(p.process.pid)]
+        with open(f"{of}/{p.process.pid}/children") as children:
+            assert not children.read()
+    play(test, tmp_path)
+
+
 def test_bad_clients_are_turned_away_and_good_ones_are_not_harmed(tmp_path):
     async def test(p):
         good = await p.caller()
--- a/thorndale/net/tcp.py
+++ b/thorndale/net/tcp.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import contextlib
+import errno
+import os
 import socket
 from collections import deque
 from typing import NamedTuple
@@ -34,6 +36,23 @@
 SIP = Stream()
 
 
+async def connect(loop, sock, address):
+    """Connects a non-blocking socket to (host, port), the host an address in figures and never a name: uvloop's
+    `sock_connect` asks the resolver for each, in one of four threads that it starts for that. Raises OSError."""
+    socket.inet_pton(sock.family, address[0].partition("%")[0])  # or `connect_ex` would look the name up, blocking
+    error = sock.connect_ex(address)
+    if error in (errno.EINPROGRESS, errno.EINTR):
+        settled = loop.create_future()
+        loop.add_writer(sock, lambda: settled.done() or settled.set_result(None))
+        try:
+            await settled
+        finally:
+            loop.remove_writer(sock)
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise OSError(error, os.strerror(error))
+
+
 class Connection:
     """`hop` is what messages by it are known by: (tcp, host, port, 0) when opened from here, else with a number."""
 
@@ -105,7 +124,7 @@
             if self.opening:
                 self.kind = owner.stream.unreached
                 address = (self.hop.host, self.hop.port)
-                await asyncio.wait_for(loop.sock_connect(self.sock, address), owner.limits.connect_ms / 1000)
+                await asyncio.wait_for(connect(loop, self.sock, address), owner.limits.connect_ms / 1000)
                 self.kind, self.established = "lost", True
                 if owner.on_open is not None:
                     owner.on_open(self.hop)
