Connections ended by an error no longer hold themselves and their buffers in memory

What grew was traceback, frame, tuple, deque, Event, Framer, Context: the remains of connections. Anonymous memory 14,676 to 15,656 KB, of it 514 KB in use by malloc; the allocator's free part stayed at 0.1 to 0.2 MB, so it is not fragmentation. The collector had not come (gc count 10,065 of its 50,000), and would after some two hours.

Checked and ruled out: the same calls with connections closed in order leave nothing (16,040 calls, 38 servers: 15,040 to 15,084 KB, 9 objects for the collector).

Lines at fault, net/tcp.py: `await task` in Connection.run raises the reader's OSError there; the error's traceback then holds run's frame, the frame the task, the task the error, and with them the connection's buffers. asyncio.wait_for does the same to a refused connect.

The change: the two tasks are asked for their error and not awaited; connect has its own time limit.

--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -1,7 +1,9 @@
 """Sockets on loopback: framing over segments, half-open and slow peers, unreachable ports, IPv4 and IPv6."""
 
 import asyncio
+import gc
 import socket
+import struct
 
 import msgspec
 import pytest
@@ -213,3 +215,52 @@
         await until(lambda: core.failed)
         assert core.failed == [(hop, kind)] and not ends.tcp.by_hop
     on_loop(test)
+
+
+def test_connections_that_end_by_an_error_leave_nothing_for_the_collector():
+    """Else each that was reset or refused keeps its buffers until the collector comes, and memory grows for hours."""
+    async def test(ends, core, number):
+        closed = port()
+        gc.collect()
+        gc.disable()
+        try:
+            for n in range(20):
+                with socket.create_connection(("127.0.0.1", number)) as peer:  # reset by the peer
+                    peer.sendall(MESSAGE[:5])
+                    await asyncio.sleep(0.01)
+                    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                ends.tcp.connect("127.0.0.1", closed)  # refused
+                with socket.create_connection(("127.0.0.1", number)) as peer:  # unreadable
+                    peer.sendall(b"OPTIONS sip:x SIP/2.0\r\nContent-Length: 99999999\r\n\r\n")
+                    await until(lambda n=n: len(core.failed) >= 3 * n + 3)
+            await until(lambda: not ends.tcp.tasks)
+            assert gc.collect() < 20
+        finally:
+            gc.enable()
+    on_loop(test)
+
+
+def test_a_connection_that_never_comes_up_ends_after_its_time_and_leaves_nothing():
+    async def test(ends, core, number):
+        ends.tcp.stream = ends.tcp.stream._replace(unreached="unreached")
+        with socket.socket() as deaf:  # its queue is full, so that no answer comes to a further one
+            deaf.bind(("127.0.0.1", 0))
+            deaf.listen(0)
+            full = [socket.socket() for _ in range(4)]
+            for peer in full:
+                peer.setblocking(False)
+                peer.connect_ex(deaf.getsockname())
+            gc.collect()
+            gc.disable()
+            try:
+                began = asyncio.get_running_loop().time()
+                hops = [ends.tcp.connect(*deaf.getsockname()) for _ in range(5)]
+                await until(lambda: len(core.failed) == 5)
+                took = asyncio.get_running_loop().time() - began
+                assert sorted(core.failed) == sorted((hop, "unreached") for hop in hops) and 0.2 <= took < 2
+                assert gc.collect() < 5
+            finally:
+                gc.enable()
+                for peer in full:
+                    peer.close()
+    on_loop(test, connect_ms=200)
--- a/thorndale/net/tcp.py
+++ b/thorndale/net/tcp.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import contextlib
 import errno
 import os
 import socket
@@ -36,19 +35,28 @@
 SIP = Stream()
 
 
-async def connect(loop, sock, address):
+async def connect(loop, sock, address, seconds):
     """Connects a non-blocking socket to (host, port), the host an address in figures and never a name: uvloop's
-    `sock_connect` asks the resolver for each, in one of four threads that it starts for that. Raises OSError."""
+    `sock_connect` asks the resolver for each, in one of four threads that it starts for that. Raises OSError, also
+    where it takes longer than that. No `wait_for`: the error that it passes on holds itself, and all else, in a
+    cycle."""
     socket.inet_pton(sock.family, address[0].partition("%")[0])  # or `connect_ex` would look the name up, blocking
     error = sock.connect_ex(address)
     if error in (errno.EINPROGRESS, errno.EINTR):
         settled = loop.create_future()
-        loop.add_writer(sock, lambda: settled.done() or settled.set_result(None))
+
+        def settle(late=0):
+            if not settled.done():
+                settled.set_result(late)
+
+        timer = loop.call_later(seconds, settle, errno.ETIMEDOUT)
+        loop.add_writer(sock, settle)
         try:
-            await settled
+            error = await settled
         finally:
+            timer.cancel()
             loop.remove_writer(sock)
-        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        error = error or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if error:
         raise OSError(error, os.strerror(error))
 
@@ -124,7 +132,7 @@
             if self.opening:
                 self.kind = owner.stream.unreached
                 address = (self.hop.host, self.hop.port)
-                await asyncio.wait_for(connect(loop, self.sock, address), owner.limits.connect_ms / 1000)
+                await connect(loop, self.sock, address, owner.limits.connect_ms / 1000)
                 self.kind, self.established = "lost", True
                 if owner.on_open is not None:
                     owner.on_open(self.hop)
@@ -136,19 +144,26 @@
             finally:
                 for task in (reader, writer):
                     task.cancel()
-                for task in (reader, writer):
-                    try:
-                        with contextlib.suppress(asyncio.CancelledError, OSError):
-                            await task
-                    except owner.stream.faults as fault:
-                        self.kind = owner.stream.spoilt
-                        owner.count["cut, unreadable"] += 1
-                        owner.fault = f"{self.hop.host}: {fault}"
+                await asyncio.wait((reader, writer))
+                self._judge(reader, writer)
         except ConnectionRefusedError:
             self.kind = "lost" if self.established else "refused"
-        except (OSError, TimeoutError):
+        except OSError:
             pass
 
+    def _judge(self, *tasks):
+        """Passes a fault of the program on; one of the stream makes the connection's end a spoilt one. The tasks are
+        asked and not awaited in `run`: an error raised there would hold `run`'s frame, which holds the task, which
+        holds the error, and with them the buffers of each connection that was reset."""
+        for task in tasks:
+            fault = None if task.cancelled() else task.exception()
+            if isinstance(fault, self.owner.stream.faults):
+                self.kind = self.owner.stream.spoilt
+                self.owner.count["cut, unreadable"] += 1
+                self.owner.fault = f"{self.hop.host}: {fault}"
+            elif fault is not None and not isinstance(fault, OSError):
+                raise fault
+
 
 class Tcp:
     """All stream connections of one element. `on_data(data, hop)`, `on_lost(hop, kind)` and `on_batch()` as for
