--- a/bench/memory.py
+++ b/bench/memory.py
@@ -17,6 +17,8 @@
 import json
 import os
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -99,7 +101,8 @@
             caller.setup(call, figures=b"dest:%d;width:1;via:-1" % (self.calls % 3))
             await asyncio.sleep(0.05)
         await asyncio.sleep(1)
-        caller.writer.transport.abort()
+        end = caller.writer.transport.get_extra_info("socket")
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         await caller.close()
 
     async def replace(self):
--- /dev/null
+++ b/thorndale/emulator/day.py
@@ -0,0 +1,54 @@
+"""A day to be played: who calls, what serves, what happens. Plain values."""
+
+from typing import NamedTuple
+
+S = 1_000_000
+
+
+class Type(NamedTuple):
+    share: float
+    target_us: int
+    guard_us: int
+    hold_us: int
+    revenue: float
+    late_part: float
+
+
+class Trouble(NamedTuple):
+    """`kind`: 'dark' (all servers of `site` silent), 'killed' (reset and refused), 'restart' (back, cold), 'back'
+    (a silent site speaks again), 'slow' (work `factor` times as long), 'burst' (calls `factor` times as many until
+    the next), 'cuts' (answers, and cuts each call a second later). `told`: whether the list tells of it."""
+
+    at_us: int
+    kind: str
+    site: int = 0
+    factor: float = 1.0
+    told: bool = True
+
+
+class Day(NamedTuple):
+    """`servers`: per site how many. `calls`: a second, of all callers. `outside`: per site set-ups a second from
+    outside. `policy`: 'sites', 'none' (own site alone), 'unbounded' (spill without a limit), 'plain' (every site to
+    every call, the module alone) or 'oracle' (sees all true states). `largest`: the part of all calls that one
+    proxy has, 0 for an equal one."""
+
+    seed: int = 1
+    length_us: int = 120 * S
+    proxies: int = 20
+    servers: tuple = (5, 5)
+    lines: int = 400
+    calls: float = 400.0
+    outside: tuple = (150.0, 150.0)
+    policy: str = "sites"
+    troubles: tuple = ()
+    types: tuple = (Type(0.94, 1_200_000, 9_000_000, 5_000_000, 1.0, 0.25),
+                    Type(0.06, 800_000, 6_000_000, 4_000_000, 6.0, 0.25))
+    own_us: int = 6_000
+    cross_us: int = 17_000
+    list_us: tuple = (1_400_000, 4_700_000)  # from an event to the list's telling it, drawn per proxy
+    report_us: int = 1_000_000
+    patience: float = 0.35  # of the guard time, after which a try is given up
+    redials: int = 3
+    backoff_us: int = 1_000_000
+    largest: float = 0.0
+    warm_up_us: int = 12_000_000
