--- a/thorndale/emulator/day.py
+++ b/thorndale/emulator/day.py
@@ -36,7 +36,7 @@
     length_us: int = 120 * S
     proxies: int = 20
     servers: tuple = (5, 5)
-    lines: int = 400
+    lines: int = 600  # a server: its processor runs short before them
     calls: float = 400.0
     outside: tuple = (150.0, 150.0)
     policy: str = "sites"
--- a/thorndale/emulator/fleet.py
+++ b/thorndale/emulator/fleet.py
@@ -20,12 +20,14 @@
 
 class Played(NamedTuple):
     """By windows of 10 s, of calls first made in each: revenue `offered`, `earned`, and `allowed` by the capacity
-    that is up. `spilled`: set-ups stood at a site not their own, per second. `longest_us`: the longest wait at a
-    server's processor, per second and site. `breaks`: rules broken, by name. `calls`: tries in all."""
+    that is up; `own`: by origin site, the part earned of what was offered. `spilled`: set-ups stood at a site not
+    their own, per second. `longest_us`: the longest wait at a server's processor, per site and second. `breaks`:
+    rules broken, by name. `calls`: tries in all."""
 
     offered: list
     earned: list
     allowed: list
+    own: list
     spilled: list
     longest_us: list
     breaks: dict
@@ -88,6 +90,7 @@
         self.rate, self.calls, self.rejected, self.keys = day.calls, 0, 0, 0
         windows, seconds = day.length_us // WINDOW_US, day.length_us // S
         self.offered, self.earned, self.allowed = [0.0] * windows, [0.0] * windows, [0.0] * windows
+        self.by_origin = [[0.0, 0.0] for _ in day.servers]  # offered, earned
         self.spilled = [0] * seconds
         self.longest = [[0] * seconds for _ in day.servers]
         self.breaks = {}
@@ -295,12 +298,14 @@
         window = self.now // WINDOW_US
         if window < len(self.offered):
             self.offered[window] += self.day.types[kind].revenue
+            self.by_origin[site][0] += self.day.types[kind].revenue
         self._dial(caller)
 
     def _credit(self, caller, revenue):
         window = caller.came // WINDOW_US
         if window < len(self.earned):
             self.earned[window] += revenue
+            self.by_origin[caller.origin][1] += revenue
 
     def _dial(self, caller):
         day, kind = self.day, self.day.types[caller.kind]
@@ -347,11 +352,12 @@
 
     def _oracle(self, held):
         kind = self.day.types[held.caller.kind]
-        open_ = [s for s in self.servers if s.up() and s.used < s.lines]
+        late = self.now - held.caller.came > kind.target_us  # a redial that earns its late part only
+        dearest = kind.revenue == max(t.revenue for t in self.day.types) and not late
+        most, kept = (0.8, 0.0) if dearest else (0.05, 0.1) if late else (0.4, 0.02)  # of target and lines
+        open_ = [s for s in self.servers if s.up() and s.used < s.lines * (1 - kept)]
         best = min(open_, key=lambda s: s.processor.wait(self.now) / s.processor.warmth(self.now), default=None)
-        dear = max(t.revenue for t in self.day.types)
-        most = kind.target_us * (0.8 if kind.revenue == dear else 0.4)
-        if best is None or best.processor.wait(self.now) > most:
+        if best is None or best.processor.wait(self.now) > most * kind.target_us:
             self.rejected += 1
             self._redial(held.caller, 0)
             return
@@ -437,5 +443,6 @@
         fallen = sum(s.processor.fallen for s in self.servers)
         if fallen:
             self.breaks["cold server pushed over"] = fallen
-        return Played(self.offered, self.earned, self.allowed, self.spilled, self.longest, self.breaks, self.calls,
+        own = [earned / max(1e-9, offered) for offered, earned in self.by_origin]
+        return Played(self.offered, self.earned, self.allowed, own, self.spilled, self.longest, self.breaks, self.calls,
                       self.rejected, fallen)
