--- a/tests/config/test_load.py
+++ b/tests/config/test_load.py
@@ -10,8 +10,10 @@
 import pytest
 from net.test_net import port
 
-from thorndale.call.door import module_settings
+from thorndale.call.door import decider, module_settings, site_settings
 from thorndale.config.load import ConfigError, load, parse
+from thorndale.policy import Proxy
+from thorndale.sites.router import Sites
 
 GOOD = open("examples/proxy.json5", encoding="utf-8").read()
 
@@ -57,6 +59,38 @@
     assert any(f.startswith(path) for f in faults(GOOD.replace(old, new, 1))), faults(GOOD.replace(old, new, 1))
 
 
+SITES = """sites: [{ name: "dakar", trunk_groups: ["dakar-1", "dakar-2"], outside_per_s: 30 },
+            { name: "thies", trunk_groups: ["thies"], outside_per_s: 10, next: ["dakar"] }],
+  call_types: ["""
+
+
+def test_sites_become_the_plain_map():
+    settings = parse(GOOD.replace("call_types: [", SITES, 1))
+    assert site_settings(settings) == {
+        "site_pools": [[0, 1], [2]], "site_order": [[[0, 1], [1, 0]]] * 2, "site_outside": [30.0, 10.0]}
+    narrow = GOOD.replace("call_types: [", SITES, 1).replace('trunk_groups: ["dakar-1", "dakar-2", "thies"] }',
+                                                              'trunk_groups: ["thies"] }', 1)
+    assert site_settings(parse(narrow))["site_order"][0] == [[1], [1]]
+    assert type(decider(1, settings)) is Sites and type(decider(1, parse(GOOD))) is Proxy
+
+
+@pytest.mark.parametrize("old, new, path", [
+    ('["dakar-1", "dakar-2"]', '["dakar-1"]', "sites: trunk group 'dakar-2' is in none"),
+    ('["dakar-1", "dakar-2"]', '["dakar-1", "dakar-2", "thies"]', "sites[1].trunk_groups[0]: 'thies' is in sites[0]"),
+    ('["dakar-1", "dakar-2"]', '["dakar-1", "dakar-3"]', "sites[0].trunk_groups[1]: 'dakar-3' is no trunk group"),
+    ('["dakar-1", "dakar-2"]', "[]", "sites[0].trunk_groups: needs at least one entry"),
+    ('name: "thies", trunk', 'name: "dakar", trunk', "sites[1].name: 'dakar' stands at sites[0]"),
+    ('next: ["dakar"]', 'next: ["dakkar"]', "sites[1].next[0]: 'dakkar' is no site; 'dakar' is meant?"),
+    ('next: ["dakar"]', 'next: ["dakar", "dakar"]', "sites[1].next[1]: 'dakar' stands before it"),
+    ('next: ["dakar"]', 'next: ["thies"]', "sites[1].next[0]: 'thies' stands before it"),
+    ("outside_per_s: 30", "outside_per_s: -1", "sites[0].outside_per_s:"),
+])
+def test_faults_of_sites(old, new, path):
+    text = GOOD.replace("call_types: [", SITES, 1)
+    assert old in text
+    assert any(f.startswith(path) for f in faults(text.replace(old, new, 1))), faults(text.replace(old, new, 1))
+
+
 def test_files_that_are_none(tmp_path):
     for name, data in (("cut", GOOD[:300].encode()), ("latin", b"{name: '\xe9'}"), ("empty", b"")):
         (tmp_path / name).write_bytes(data)
--- a/thorndale/call/border.py
+++ b/thorndale/call/border.py
@@ -15,12 +15,11 @@
 from thorndale.call.call import BOX, CALLER, Call
 from thorndale.call.causes import comeback
 from thorndale.call.detail import of_call, of_refused
-from thorndale.call.door import module_settings
+from thorndale.call.door import decider
 from thorndale.call.passing import hops_left, refused_extensions
 from thorndale.call.press import Press
 from thorndale.call.sort import Sorter, hidden, masked
 from thorndale.door import Door
-from thorndale.policy import Proxy
 from thorndale.records.ledger import Unkept
 from thorndale.sip import message as m
 from thorndale.sip.dialog import hop_of, via_text
@@ -56,7 +55,7 @@
         times = Times(sip.t1_ms * 1000, sip.t2_ms * 1000, sip.t4_ms * 1000, max(sip.t1_ms * 64, 1) * 1000)
         self.ledger, self.hide, self.record_timer = ledger or Unkept(), hide, None
         self.layer = Layer(self.timers, times, settings.limits.transactions, self, self._out)
-        self.door = Door(Proxy(seed, module_settings(settings)))
+        self.door = Door(decider(seed, settings))
         self.sorter, self.wall_offset_us = Sorter(settings, rules), wall_offset_us
         self.press = Press(settings.limits.lag_ms * 1000, settings.limits.open_calls, times.most)
         self.server_hops = [hop_of(s.uri) for s in settings.servers]
--- a/thorndale/call/door.py
+++ b/thorndale/call/door.py
@@ -3,6 +3,37 @@
 The module knows servers, trunk groups, call types and clients by dense indices: those of the settings' lists.
 """
 
+from thorndale.policy import Proxy
+from thorndale.sites.plan import expand
+from thorndale.sites.router import Sites
+
+
+def decider(seed, settings):
+    """What decides for this proxy: the module, with the sites before it where the settings name some."""
+    known = module_settings(settings)
+    if not settings.sites:
+        return Proxy(seed, known)
+    sites = site_settings(settings)
+    return Sites(seed >> 1, known, sites, Proxy(seed, expand(known, sites)))
+
+
+def site_settings(settings):
+    """The plain map of `thorndale/sites/plan.py`. A type's calls are offered to their own site, then to those that it
+    names, then, where the type may use none of these, to any other."""
+    group = {g.name: n for n, g in enumerate(settings.trunk_groups)}
+    names = [s.name for s in settings.sites]
+    order = []
+    for kind in settings.call_types:
+        usable = [n for n, s in enumerate(settings.sites) if set(s.trunk_groups) & set(kind.trunk_groups)]
+        rows = []
+        for own, site in enumerate(settings.sites):
+            others = names[own + 1:] + names[:own] if site.next is None else site.next
+            row = [n for n in (own, *(names.index(o) for o in others)) if n in usable]
+            rows.append(row or usable)
+        order.append(rows)
+    return {"site_pools": [[group[g] for g in s.trunk_groups] for s in settings.sites], "site_order": order,
+            "site_outside": [s.outside_per_s for s in settings.sites]}
+
 
 def module_settings(settings):
     """The one map of names to values that the module is started with; the names as `thorndale/interface.py` and
--- a/thorndale/config/load.py
+++ b/thorndale/config/load.py
@@ -160,7 +160,7 @@
 def joined(settings):
     """Faults that lie between fields: names that are not there or twice, addresses that can't be reached."""
     faults = []
-    for path in ("trunk_groups", "servers", "call_types", "clients"):
+    for path in ("trunk_groups", "servers", "call_types", "clients", "sites"):
         seen = {}
         for n, item in enumerate(getattr(settings, path)):
             if item.name in seen:
@@ -207,6 +207,20 @@
             named(f"call_types[{n}].trunk_groups[{i}]", group, groups, "trunk group")
         if kind.setup_target_ms > kind.guard_ms:
             faults.append(f"call_types[{n}].setup_target_ms: {kind.setup_target_ms} is over the guard time")
+    sites, taken = {s.name for s in settings.sites}, {}
+    for n, site in enumerate(settings.sites):
+        for i, group in enumerate(site.trunk_groups):
+            named(f"sites[{n}].trunk_groups[{i}]", group, groups, "trunk group")
+            if group in taken:
+                faults.append(f"sites[{n}].trunk_groups[{i}]: {group!r} is in sites[{taken[group]}] already")
+            taken.setdefault(group, n)
+        for i, name in enumerate(site.next or []):
+            named(f"sites[{n}].next[{i}]", name, sites, "site")
+            if name == site.name or name in site.next[:i]:
+                faults.append(f"sites[{n}].next[{i}]: {name!r} stands before it already; name each other site once")
+    if settings.sites:
+        faults += [f"sites: trunk group {g!r} is in none; no call would be offered to it"
+                   for g in sorted(groups - set(taken))]
     if bool(settings.matching.file) == bool(settings.matching.text):
         faults.append("matching: needs either a file or a text")
     quotas = [c.quota_per_s > 0 for c in settings.clients]
--- a/thorndale/config/settings.py
+++ b/thorndale/config/settings.py
@@ -41,6 +41,16 @@
     late_part: Share = 0.0
 
 
+class Site(Struct, forbid_unknown_fields=True, frozen=True):
+    """Trunk groups that are lost together. `outside_per_s`: set-ups a second that it takes of other sites' calls, all
+    proxies together; `next`: where its own calls go once it is lost, in this order (left out: the others as listed)."""
+
+    name: Name
+    trunk_groups: Annotated[list[str], Meta(min_length=1)]
+    outside_per_s: Annotated[float, Meta(ge=0, le=1e6)] = 0.0
+    next: list[str] | None = None
+
+
 class Client(Struct, forbid_unknown_fields=True, frozen=True):
     """`quota_per_s`: set-ups a second of all proxies together; quotas count when all clients have one."""
 
@@ -145,6 +155,7 @@
     name: Name = "proxy"
     instances: Count = 1
     clients: list[Client] = []
+    sites: list[Site] = []
     over_quota_part: Share = 1.0
     load_header: str = "X-Load"
     book: Book | None = None
--- a/thorndale/sites/router.py
+++ b/thorndale/sites/router.py
@@ -39,6 +39,11 @@
         self.servers, self.calls, self.turned = {}, {}, 0  # server: (pool, state, started); call: Offered
         self.notes = []
 
+    @property
+    def state(self):
+        """The module's states of servers, as its hosts read them."""
+        return self.module.state
+
     def _chance(self):
         """A linear congruential generator; its high bits as a share from 0 to 1."""
         self.seed = (self.seed * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
--- a/thorndale/standins/script.py
+++ b/thorndale/standins/script.py
@@ -32,6 +32,12 @@
     revenue: float = 1.0
 
 
+class SitePlan(Struct, forbid_unknown_fields=True):
+    name: str
+    trunk_groups: list[str]
+    outside_per_s: float = 0.0
+
+
 class Fault(Struct, forbid_unknown_fields=True):
     """`who` names boxes or proxies; `size` is the kind's own: times slower, a part, seconds."""
 
@@ -62,6 +68,7 @@
     fall_ms: int = 1500
     t1_ms: int = 500
     records: str = ""  # how answers and records are ordered; '' keeps none
+    sites: list[SitePlan] = []
     faults: list[Fault] = []
 
 
@@ -127,6 +134,8 @@
         "trunk_groups": [{"name": g} for g in groups],
         "servers": [{"name": b.name, "uri": uri, "trunk_group": b.trunk_group}
                     for b, uri in zip(day.boxes, boxes, strict=True)],
+        "sites": [{"name": s.name, "trunk_groups": s.trunk_groups, "outside_per_s": s.outside_per_s}
+                  for s in day.sites],
         "call_types": [{"name": t.name, "setup_target_ms": t.setup_target_ms, "guard_ms": t.guard_ms,
                         "hold_ms": t.hold_ms, "revenue": t.revenue, "late_part": 0.25, "trunk_groups": groups}
                        for t in day.types],
