--- a/thorndale/cli/main.py
+++ b/thorndale/cli/main.py
@@ -1,5 +1,5 @@
 """`thorndale run FILE`, `check FILE`, `match FILE --number N`, `match test FILE EXAMPLES`,
-`match fmt RULES`, `day DAY`, `records verify|show|rate|export|settle|erase FOLDER...`.
+`match fmt RULES`, `day DAY`, `plan FILE --lose NAME`, `records verify|show|rate|export|settle|erase FOLDER...`.
 
 Exit codes: 0 done; 1 it could not be done, or a rule was broken; 2 the input is wrong and nothing was opened.
 """
@@ -125,5 +125,30 @@
     raise typer.Exit(exit_code(player, breaks))
 
 
+@app.command()
+def plan(
+    file: str = typer.Argument(help="A plan file, JSON5; see examples/plan.json5."),
+    lose: list[str] = typer.Option([], help="A site or server that is lost; may come again. Each site, if left out."),
+):
+    """What to let spill where when a site or server is lost; the output is JSON5 for the settings."""
+    from thorndale.call.door import site_settings
+    from thorndale.cli.plan import losses, show
+    from thorndale.config.plans import read_plan
+    from thorndale.sites.plan import SitesError
+
+    try:
+        settings, servers, load_ = read_plan(file, lambda s: site_settings(s)["site_order"])
+        show(settings, servers, load_, losses(settings, lose, servers), typer.echo)
+    except ConfigError as fault:
+        typer.echo("\n".join(f"{fault.where}: {text}" for text in fault.faults), err=True)
+        raise typer.Exit(2) from None
+    except KeyError as fault:
+        typer.echo(f"{file}: --lose {fault.args[0]!r} is neither a site nor a server there", err=True)
+        raise typer.Exit(2) from None
+    except SitesError as fault:
+        typer.echo(f"{file}: {fault}", err=True)
+        raise typer.Exit(1) from None
+
+
 if __name__ == "__main__":
     sys.exit(app())
