--- a/tests/standins/broken.py
+++ b/tests/standins/broken.py
@@ -5,7 +5,7 @@
 
 sys.path.insert(0, str(Path(__file__).parents[2]))  # run as a script, not installed
 
-from thorndale.call import border, call
+from thorndale.call import border, call, door
 from thorndale.call.book import Book, Entry
 from thorndale.call.call import Call
 from thorndale.call.seizure import Seizure
@@ -43,8 +43,8 @@
 
 def no_release_wait():
     """The module is told that nothing need be awaited."""
-    known = border.module_settings
-    border.module_settings = lambda settings: {**known(settings), "release_us": 0}
+    known = door.module_settings
+    door.module_settings = lambda settings: {**known(settings), "release_us": 0}
 
 
 def cold_pushed():
