Each proxy deals its calls round a pool's servers and learns their shares

The change: _in_turn orders a pool's servers by what is owed to each of this proxy's calls, calls out there counted against it; places are drawn at the start, so 200 proxies do not begin with the same server. A turn is over whether the guards let the call go or not, else a server that is back would be owed a call by every proxy at once. _weigh learns the share of a server: less where a told wait finds it at work more often than the pool's others, which is load by capacity for any size. Pools of one server draw no chance and act as before to the last action.

A look that finds a wait past the held one counts up to four, by its square, else a server that is full for good is found at work no more than once a look and is relieved slowly.

--- a/thorndale/emulator/day.py
+++ b/thorndale/emulator/day.py
@@ -17,20 +17,43 @@
 class Trouble(NamedTuple):
     """`kind`: 'dark' (all servers of `site` silent), 'killed' (reset and refused), 'restart' (back, cold), 'back'
     (a silent site speaks again), 'slow' (work `factor` times as long), 'burst' (calls `factor` times as many until
-    the next), 'cuts' (answers, and cuts each call a second later). `told`: whether the list tells of it."""
+    the next), 'cuts' (answers, and cuts each call a second later), 'errors' (answers each set-up with a fault at
+    once), 'sizes' (capacities turn by one within each pool), 'join' (listed from now on, not before), 'stall'
+    (`proxies` stand still for `span_us`). `servers`: these alone, not all of the site. `told`: whether the list tells
+    of it, `late_us` later than it would."""
 
     at_us: int
     kind: str
     site: int = 0
     factor: float = 1.0
     told: bool = True
+    servers: frozenset = frozenset()
+    proxies: frozenset = frozenset()
+    span_us: int = 0
+    late_us: int = 0
+
+
+class Link(NamedTuple):
+    """What befalls messages between these proxies and servers from `at_us` to `until_us`: `way` 'out' (to the server),
+    'back' or 'both'; a part of them is lost, the others come `delay_us` later. `reports`: load reports alone."""
+
+    at_us: int
+    until_us: int
+    proxies: frozenset
+    servers: frozenset
+    way: str = "both"
+    lose: float = 1.0
+    delay_us: int = 0
+    reports: bool = False
 
 
 class Day(NamedTuple):
     """`servers`: per site how many. `calls`: a second, of all callers. `outside`: per site set-ups a second from
     outside. `policy`: 'sites', 'none' (own site alone), 'unbounded' (spill without a limit), 'plain' (every site to
     every call, the module alone) or 'oracle' (sees all true states). `largest`: the part of all calls that one
-    proxy has, 0 for an equal one."""
+    proxy has, 0 for an equal one. `together`: the servers of a site are one pool, else each is a pool of its own.
+    `sizes`: capacity of each server, of the model's; `way`: how servers of a pool are chosen among (`ways.py`), the
+    module's own where empty. `unequal`: some proxies get several times the calls of others."""
 
     seed: int = 1
     length_us: int = 120 * S
@@ -52,3 +75,9 @@
     backoff_us: int = 1_000_000
     largest: float = 0.0
     warm_up_us: int = 12_000_000
+    together: bool = False
+    sizes: tuple = ()
+    links: tuple = ()
+    way: str = ""
+    unequal: bool = False
+    start_us: int = 0  # proxies begin at a moment drawn within it
--- a/thorndale/emulator/fleet.py
+++ b/thorndale/emulator/fleet.py
@@ -7,7 +7,7 @@
 from thorndale import interface as io
 from thorndale.door import Door
 from thorndale.emulator.day import S
-from thorndale.policy import Proxy
+from thorndale.emulator.ways import module
 from thorndale.sites.plan import expand
 from thorndale.sites.router import Sites
 from thorndale.standins.processor import Processor, Work
@@ -34,21 +34,30 @@
     calls: int
     rejected: int
     fallen: int
+    setups: list  # by server and second: set-ups that came to it
+    waits_us: list  # what each of them met, sorted
 
     def share(self):
         return sum(self.earned) / max(1e-9, sum(self.offered))
 
 
 class Server:
-    __slots__ = ("number", "site", "processor", "lines", "used", "silent", "dead", "cuts", "standing", "state",
-                 "started")
-
-    def __init__(self, number, site, lines):
-        self.number, self.site, self.lines, self.used = number, site, lines, 0
-        self.processor = Processor(WORK, 0, False)
+    __slots__ = ("number", "site", "processor", "lines", "used", "silent", "dead", "cuts", "errors", "standing",
+                 "state", "started", "size", "pool")
+
+    def __init__(self, number, site, lines, size=1.0, pool=None):
+        self.number, self.site, self.lines, self.used, self.size = number, site, lines, 0, size
+        self.pool = number if pool is None else pool
+        self.errors = False
+        self.renew(0, False)
         self.silent = self.dead = self.cuts = False
         self.standing, self.state, self.started = {}, io.SERVING, 0
 
+    def renew(self, now, cold, slow=1.0):
+        """Another process: `size` is its capacity, of the model's."""
+        self.processor = Processor(WORK, now, cold)
+        self.processor.slowness = slow / self.size
+
     def up(self):
         return not (self.silent or self.dead or self.processor.fallen)
 
@@ -74,10 +83,11 @@
 class Host:
     """One proxy: its core, and its part of the calls."""
 
-    __slots__ = ("core", "door", "timer", "weight", "site")
+    __slots__ = ("core", "door", "timer", "weight", "site", "number", "until")
 
-    def __init__(self, core, weight, site):
+    def __init__(self, core, weight, site, number):
         self.core, self.door, self.timer, self.weight, self.site = core, Door(core), 0, weight, site
+        self.number, self.until = number, 0  # us until which it stands still
 
 
 class Fleet:
@@ -85,8 +95,15 @@
         self.day, self.chance, self.now, self.serial, self.heap = day, Random(day.seed), 0, 0, []
         self.servers = []
         for site, count in enumerate(day.servers):
-            self.servers += [Server(len(self.servers) + n, site, day.lines) for n in range(count)]
-        self.pools = [[s.number for s in self.servers if s.site == site] for site in range(len(day.servers))]
+            for _ in range(count):
+                number = len(self.servers)
+                size = day.sizes[number] if day.sizes else 1.0
+                self.servers.append(Server(number, site, day.lines, size, site if day.together else None))
+        self.pools = [sorted({s.pool for s in self.servers if s.site == site}) for site in range(len(day.servers))]
+        for trouble in day.troubles:
+            for server in self._meant(trouble) if trouble.kind == "join" else ():
+                server.state, server.dead = io.GONE, True
+        self.links = []  # those in force
         self.rate, self.calls, self.rejected, self.keys = day.calls, 0, 0, 0
         windows, seconds = day.length_us // WINDOW_US, day.length_us // S
         self.offered, self.earned, self.allowed = [0.0] * windows, [0.0] * windows, [0.0] * windows
@@ -94,6 +111,7 @@
         self.spilled = [0] * seconds
         self.longest = [[0] * seconds for _ in day.servers]
         self.breaks = {}
+        self.setups, self.waits = [[0] * seconds for _ in self.servers], []
         self.hosts = [self._host(n) for n in range(day.proxies)]
         self.weights = [h.weight for h in self.hosts]
 
@@ -105,7 +123,7 @@
             "tick_us": 1_000, "instances": day.proxies, "type_target_us": [t.target_us for t in types],
             "type_guard_us": [t.guard_us for t in types], "type_hold_us": [t.hold_us for t in types],
             "type_revenue": [t.revenue for t in types], "type_late_part": [t.late_part for t in types],
-            "type_pools": [[s.number for s in self.servers] for _ in types], "client_quota": [], "over_quota_part": 1.0,
+            "type_pools": [sorted({s.pool for s in self.servers}) for _ in types], "client_quota": [], "over_quota_part": 1.0,
             "release_us": RELEASE_US, "resend_us": 0, "seizures_max": 5, "open_max": 60_000, "may_cancel": True,
             "comeback_told": True, "comeback_max_us": 2 * S, "drain_grace_us": 500_000,
             "start_capacity": WORK.cold_from, "warm_up_us": day.warm_up_us, "fall_multiple": WORK.fall_multiple,
@@ -122,15 +140,18 @@
         day, seed = self.day, self.chance.getrandbits(63)
         settings = self.settings()
         if day.policy in ("plain", "oracle"):
-            core = Proxy(seed, settings)
+            core = module(day.way, seed, settings, number, self.servers)
         else:
-            core = Sites(seed ^ 0x5DEECE66D, settings, self.sites(), Proxy(seed, expand(settings, self.sites())))
+            core = Sites(seed ^ 0x5DEECE66D, settings, self.sites(), module(day.way, seed, expand(settings, self.sites()), number, self.servers))
         equal = 1.0 / day.proxies
         weight = equal if not day.largest else day.largest if number == 0 else (1 - day.largest) / (day.proxies - 1)
-        host = Host(core, weight, number % len(day.servers))
-        host.door.tell(io.Servers(tuple(io.Server(s.number, s.number, s.state, s.started) for s in self.servers),
+        if day.unequal:
+            weight *= self.chance.choice((0.2, 0.5, 0.5, 1.0, 1.0, 1.0, 3.0))
+        host = Host(core, weight, number % len(day.servers), number)
+        host.door.tell(io.Servers(tuple(io.Server(s.number, s.pool, s.state, s.started) for s in self.servers),
                                   True, True))
-        self._at(0, self._flush, host)
+        host.until = int(day.start_us * self.chance.random())
+        self._at(host.until, self._flush, host)
         return host
 
     def _at(self, at, do, *values):
@@ -143,8 +164,28 @@
     def _break(self, rule):
         self.breaks[rule] = self.breaks.get(rule, 0) + 1
 
+    def _carry(self, host, server, way, do, *values):
+        """A message between a proxy and a server: what the links make of it, and the time it takes."""
+        wait = self._way(host, server)
+        for link in self.links:
+            if not link.reports and link.way in (way, "both") and host.number in link.proxies and server in link.servers:
+                if self.chance.random() < link.lose:
+                    return
+                wait += link.delay_us
+        self._after(wait, self._reach, host, do, values) if way == "back" else self._after(wait, do, *values)
+
+    def _reach(self, host, do, values):
+        """At the proxy, or once it goes on."""
+        if host.until > self.now:
+            self._at(host.until, self._reach, host, do, values)
+        else:
+            do(*values)
+
     def _flush(self, host):
         door = host.door
+        if host.until > self.now:
+            self._at(host.until, self._flush, host)
+            return
         while door.events:
             for action in door.take(self.now):
                 kind = type(action)
@@ -165,8 +206,8 @@
                 self._break("release not awaited")
             held.out = held.sent, action.server
             held.sent += 1
-            self._after(self._way(host, action.server), self._arrive, held, held.out)
-            self._after(action.timeout_us, self._late, held, held.out, self.now)
+            self._carry(host, action.server, "out", self._arrive, held, held.out)
+            self._after(action.timeout_us, self._reach, host, self._late, (held, held.out, self.now))
         elif kind is io.Cancel:
             self._cancel(held, io.CANCELLED, True)
         else:
@@ -181,23 +222,28 @@
 
     def _arrive(self, held, seizure):
         server = self.servers[seizure[1]]
+        second = min(len(self.spilled) - 1, self.now // S)
+        self.setups[server.number][second] += 1
         if server.silent:
             return
         if server.dead or server.processor.fallen:
-            self._after(self._way(held.proxy, server.number), self._refused, held, seizure, io.UNREACHABLE)
+            self._carry(held.proxy, server.number, "back", self._refused, held, seizure, io.UNREACHABLE)
             return
         if held.out != seizure:
             return
+        if server.errors:
+            self._carry(held.proxy, server.number, "back", self._refused, held, seizure, io.FAULTY)
+            return
         if server.used >= server.lines:
-            self._after(self._way(held.proxy, server.number), self._refused, held, seizure, io.EMPTY)
+            self._carry(held.proxy, server.number, "back", self._refused, held, seizure, io.EMPTY)
             return
         wait = server.processor.wait(self.now)
-        second = min(len(self.spilled) - 1, self.now // S)
+        self.waits.append(wait)
         if wait > self.longest[server.site][second]:
             self.longest[server.site][second] = wait
         done = server.processor.setup(self.now)
         if done is None:
-            self._after(self._way(held.proxy, server.number), self._refused, held, seizure, io.FULL)
+            self._carry(held.proxy, server.number, "back", self._refused, held, seizure, io.FULL)
             return
         server.used += 1
         self._at(done, self._stand, held, seizure, server, server.started)
@@ -217,7 +263,7 @@
             server.used -= 1
             return
         server.standing[held] = seizure
-        self._after(self._way(held.proxy, server.number), self._stood, held, seizure, server, self.now)
+        self._carry(held.proxy, server.number, "back", self._stood, held, seizure, server, self.now)
         hold = self.day.types[held.caller.kind].hold_us
         wait = S if server.cuts else self.chance.expovariate(1 / hold)
         self._after(wait, self._over, held, seizure, server, io.RESET if server.cuts else io.COMPLETED)
@@ -248,7 +294,7 @@
             return
         self._drop(held, server)
         server.processor.release(self.now)
-        self._after(self._way(held.proxy, server.number), self._ended, held, seizure, server, outcome)
+        self._carry(held.proxy, server.number, "back", self._ended, held, seizure, server, outcome)
 
     def _ended(self, held, seizure, server, outcome):
         if held.server is not server:
@@ -311,7 +357,7 @@
         day, kind = self.day, self.day.types[caller.kind]
         caller.tries += 1
         self.calls += 1
-        host = self.chance.choices(self.hosts, self.weights)[0] if day.largest else self.chance.choice(self.hosts)
+        host = self.chance.choices(self.hosts, self.weights)[0] if day.largest or day.unequal else self.chance.choice(self.hosts)
         held = Try(caller, host)
         held.due = self.now
         if day.policy == "oracle":
@@ -324,7 +370,7 @@
         self._flush(host)
 
     def _gives_up(self, held):
-        if held.answered or held.index < 0:
+        if held.answered or held.index < 0 or held.proxy.until > held.due:  # it stood still meanwhile
             return
         self._break("no answer in time") if self.day.policy != "oracle" else None
 
@@ -372,26 +418,50 @@
         if report is None:
             return
         for host in self.hosts:
-            host.door.tell(io.Seen(server.number, report, False))
+            late = 0
+            for link in self.links:
+                if link.reports and host.number in link.proxies and server.number in link.servers:
+                    late = -1 if self.chance.random() < link.lose else link.delay_us
+            if late >= 0:
+                self._after(late, self._seen, host, server.number, report)
+
+    def _seen(self, host, number, report):
+        host.door.tell(io.Seen(number, report, False))
+        if host.until <= self.now:
             self._flush(host)
 
-    def _listed(self, server):
+    def _listed(self, server, late):
         """The list's telling of a server as it is now, at each proxy after a lag of its own."""
-        entry = io.Server(server.number, server.number, server.state, server.started)
+        entry = io.Server(server.number, server.pool, server.state, server.started)
         least, most = self.day.list_us
         for host in self.hosts:
-            self._after(least + (most - least) * self.chance.random(), self._told, host, entry)
+            self._after(late + least + (most - least) * self.chance.random(), self._told, host, entry)
 
     def _told(self, host, entry):
         host.door.tell(io.Servers((entry,), False, False))
-        self._flush(host)
+        if host.until <= self.now:
+            self._flush(host)
+
+    def _meant(self, trouble):
+        return [s for s in self.servers if (s.number in trouble.servers if trouble.servers else s.site == trouble.site)]
 
     def _trouble(self, trouble):
-        for server in self.servers if trouble.kind != "burst" else ():
-            if server.site == trouble.site:
-                self._befalls(server, trouble)
         if trouble.kind == "burst":
             self.rate = self.day.calls * trouble.factor
+        elif trouble.kind == "stall":
+            for host in self.hosts:
+                if host.number in trouble.proxies:
+                    host.until = self.now + trouble.span_us
+        elif trouble.kind == "sizes":
+            for pool in {s.pool for s in self.servers}:
+                among = [s for s in self.servers if s.pool == pool]
+                sizes = [s.size for s in among]
+                for server, size in zip(among, sizes[1:] + sizes[:1], strict=True):
+                    server.processor.slowness *= server.size / size
+                    server.size = size
+        else:
+            for server in self._meant(trouble):
+                self._befalls(server, trouble)
 
     def _befalls(self, server, trouble):
         kind = trouble.kind
@@ -402,17 +472,22 @@
             for held, seizure in list(server.standing.items()):
                 self._after(noticed, self._ended, held, seizure, server, io.RESET)
             server.standing, server.used = {}, 0
-        elif kind in ("back", "restart"):
+        elif kind in ("back", "restart", "join"):
             server.silent = server.dead = server.cuts = False
             server.state = io.SERVING
-            server.started = self.now if kind == "restart" else server.started
-            server.processor = Processor(WORK, self.now, kind == "restart")
+            server.started = self.now if kind != "back" else server.started
+            server.renew(self.now, kind != "back")
         elif kind == "slow":
-            server.processor.slowness = trouble.factor
+            server.processor.slowness = trouble.factor / server.size
         elif kind == "cuts":
             server.cuts = True
-        if trouble.told and kind in ("dark", "killed", "back", "restart"):
-            self._listed(server)
+        elif kind == "errors":
+            server.errors = trouble.factor > 0
+        if trouble.told and kind in ("dark", "killed", "back", "restart", "join"):
+            self._listed(server, trouble.late_us)
+
+    def _linked(self, link, on):
+        self.links.append(link) if on else self.links.remove(link)
 
     def _capacity(self):
         """What the servers that are up could earn of what is offered, the dearest first."""
@@ -436,6 +511,9 @@
             self._at(int(self.chance.random() * day.report_us), self._reports, server)
         for trouble in day.troubles:
             self._at(trouble.at_us, self._trouble, trouble)
+        for link in day.links:
+            self._at(link.at_us, self._linked, link, True)
+            self._at(link.until_us, self._linked, link, False)
         heap = self.heap
         while heap and heap[0][0] < day.length_us:
             self.now, _, do, values = heappop(heap)
@@ -445,4 +523,4 @@
             self.breaks["cold server pushed over"] = fallen
         own = [earned / max(1e-9, offered) for offered, earned in self.by_origin]
         return Played(self.offered, self.earned, self.allowed, own, self.spilled, self.longest, self.breaks, self.calls,
-                      self.rejected, fallen)
+                      self.rejected, fallen, self.setups, sorted(self.waits))
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -11,7 +11,7 @@
 """
 from collections import deque
 from heapq import heappop, heappush
-from math import log, sqrt
+from math import exp, log, sqrt
 
 from thorndale import interface as io
 
@@ -52,6 +52,14 @@
 FAULT_ODDS = 0.3  # chance of a fault at a sound server: callers may send this many that no server can use
 LOST = (io.RESET, io.UNREACHABLE)  # outcomes that a sound server seldom gives
 CUTS_US = 100_000  # us within which a second call cut at a server tells of more than chance
+TURN_MOST = 1.0  # calls that a server can be owed or ahead by in its pool: more, and its return is a herd
+IDLE_US = 1_000  # us of told wait over the least told from which a processor was found at work
+LEAST_PART = 0.01  # of a told wait by which the least told follows, for a figure that begins to tell more
+WEIGH_US = 100_000_000  # us in which busy looks move a share by their whole: faster, and chance looks like size
+WEIGH_MOST = 0.2  # most that one look counts for, however long ago the last: some five looks
+FULL_MOST = 4.0  # looks that one counts for at most, by the square of a wait over the one that is held
+SHARE_MOST = 4.0  # times an equal share, and its inverse: what is learned beyond is taken for a fault
+FADE_US = 600_000_000  # us in which what is known of a share fades toward an equal one, unless learned anew
 
 # Figures about servers, each a list under the server's index, with what it begins with.
 FIGURES = dict(
@@ -67,6 +75,8 @@
     used=0, used_at=0,  # lines in use as last told, when
     demand=0.0, part=1.0,  # set-ups a us that all proxies want; part of them that lines allow
     open=1.0, open_at=0,  # part that the processor has been found to take, as of when
+    turn=None, share=1.0,  # calls owed in its pool; its part of the pool's calls, of an equal one
+    least_told=None, looked_at=0,  # us of wait told at its least; when last looked at for its share
 )
 
 
@@ -97,6 +107,7 @@
             setattr(self, name, [])
         self.firsts, self.retries, self.out = [], [], []  # slots of the window; call: when sent, oldest first
         self.by_pool, self.inflow = {}, {}  # pool: servers; set-ups a second from all proxies, while warm
+        self.busy = {}  # pool: part of the looks at its servers that found one at work
         self.hold = max(settings["type_hold_us"], default=SLOTS * SLOT_US)  # us, mean of a call's length
         self.mean_revenue, self.turned_until = 0.0, 0
         self.quota, self.quota_at = [1.0] * len(settings["client_quota"]), 0
@@ -147,6 +158,7 @@
                 self.started[s], self.score[s] = entry.started_us, 0.0
                 self.credit[s], self.credit_at[s], self.used[s] = 0.0, self.now, 0
                 self.wait[s], self.rate[s], self.silent[s], self.out[s] = 0, 0.0, 0, {}
+                self.share[s], self.least_told[s] = 1.0, None
             self._state(s, entry.state)
             self.pool[s] = entry.pool
         if event.whole:
@@ -157,6 +169,10 @@
         for s, state in enumerate(self.state):
             if state == io.SERVING and self.pool[s] >= 0:
                 self.by_pool.setdefault(self.pool[s], []).append(s)
+        for servers in self.by_pool.values():
+            for s in servers if len(servers) > 1 else ():
+                if self.turn[s] is None:  # drawn, or all proxies would begin with the same server
+                    self.turn[s] = self._chance() - 0.5
 
     def _state(self, s, state):
         if self.state[s] != state:
@@ -207,6 +223,26 @@
         if report.wait_us is not None and report != self.told[s]:  # another one: an idle server tells 0 again
             self.told[s] = report
             self._observe(s, report.wait_us, self.now - REPORT_US)
+            self._weigh(s, report.wait_us)
+
+    def _weigh(self, s, wait):
+        """Learns the share of server s in its pool: less where it is found at work more often than the others.
+        A look finds a processor of any size at work as often as it is used, so equal parts of busy looks are load
+        by capacity, whoever sent it. Guards against unlike servers taken for alike; harms by the noise of few
+        looks, which differs from proxy to proxy and so levels out in the sum."""
+        servers = self.by_pool.get(self.pool[s], ())
+        if len(servers) < 2 or s not in servers or self._cold(s):
+            return
+        least = wait if self.least_told[s] is None else self.least_told[s]
+        busy = wait > least + IDLE_US
+        self.least_told[s] = min(wait, least + (wait - least) * LEAST_PART)
+        passed, self.looked_at[s] = self.now - self.looked_at[s], self.now
+        step = min(WEIGH_MOST, passed / WEIGH_US)
+        busy += min(FULL_MOST - 1, (wait / (PRESS_AT * self.limit)) ** 2)  # found at work says no more when all is full
+        mean = self.busy.get(self.pool[s], busy)
+        self.busy[self.pool[s]] = mean + (busy - mean) * step / len(servers)
+        share = self.share[s] ** exp(-passed / FADE_US) * exp(step * (mean - busy))
+        self.share[s] = min(SHARE_MOST, max(1 / SHARE_MOST, share))
 
     def _observe(self, s, wait, at):
         """Takes a wait that a set-up sent at that time met, unless this proxy was held up and the wait may
@@ -420,6 +456,27 @@
         """Whether the guards let a set-up go to server s now; press and pace apart."""
         return self.score[s] < FAILED_AT or self._trial_due(s)
 
+    def _in_turn(self, pool):
+        """The servers of a pool, first the one that is owed most of this proxy's calls, each call that is out
+        there counted as one too many. Every proxy deals its own calls, from a place drawn at the start: few as
+        they are, the sum over all is more even than drawing, and no figure is shared that all could run after.
+        Guards against herds and servers left idle; harms nothing where pools have one server."""
+        servers = self.by_pool.get(pool, ())
+        if len(servers) < 2:
+            return servers
+        return sorted(servers, key=lambda s: len(self.out[s]) / self.share[s] - self.turn[s])
+
+    def _pass_turn(self, s, fit):
+        """Server s has had its turn, whether the guards let the call go there or not: what is not taken is not
+        owed, or a server that is back would be owed calls by all proxies at once."""
+        pool = [o for o in fit if self.pool[o] == self.pool[s]]
+        if len(pool) < 2:
+            return
+        whole = sum(self.share[o] for o in pool)
+        for o in pool:
+            self.turn[o] = min(TURN_MOST, self.turn[o] + self.share[o] / whole)
+        self.turn[s] = max(-TURN_MOST, self.turn[s] - 1)
+
     def _route(self, held, avoid=-1):
         """First choice unless skipped, told empty or barred by a guard, else the others in turn, else a
         skipped one, for the others may have no room; -1: none."""
@@ -427,13 +484,16 @@
         allowed = pools[held.kind] if held.kind < len(pools) else list(self.by_pool)
         start = int(self._chance() * len(allowed))  # or all that leave one pool would come to the next
         turn = sorted(allowed[start:] + allowed[:start], key=lambda p: p != held.pool)
-        servers = [s for p in turn for s in self.by_pool.get(p, ())]
+        servers = [s for p in turn for s in self._in_turn(p)]
         open_ = [s for s in servers if self._has_room(s)]
         lined = [s for s in open_ if s != avoid and self.empty_until[s] <= self.now and self.free[s] != 0]
         fit = [s for s in lined if self.skip_until[s] <= self.now]
         fit.sort(key=self._faulty)
         for s in fit + [s for s in lined if s not in fit] or open_:
-            if self._admits(s, held):
+            admitted = self._admits(s, held)
+            if s in fit:
+                self._pass_turn(s, fit)
+            if admitted:
                 return s
         return -1
 
