--- a/bench/spread.py
+++ b/bench/spread.py
@@ -74,7 +74,6 @@
     day = base(seed, way, proxies, seconds, unlike, load=0.5 + 0.2 * chance.random())
     at = 40
     third = frozenset(chance.sample(range(proxies), proxies // 3))
-    servers = frozenset(chance.sample(range(POOLS * EACH), 4))
     one = frozenset(chance.sample(range(POOLS * EACH), 1))
     every, all_ = frozenset(range(proxies)), frozenset(range(POOLS * EACH))
     end, until = (at + 25) * S, (at + 20) * S
--- a/tests/match/test_rule_sets.py
+++ b/tests/match/test_rule_sets.py
@@ -165,3 +165,11 @@
             load(source)
     with pytest.raises(MatchError, match="20001 rules"):
         load("\n".join(f'rule "{n}" {{ when yes type t }}' for n in range(20_001)))
+
+
+def test_the_kept_tables_are_of_this_grammar_and_library():
+    from thorndale.match.parse import built
+
+    _, seal = built()
+    with open("thorndale/match/grammar.tables", "rb") as file:
+        assert file.read().startswith(seal), "run python -m thorndale.match.tables"
--- a/thorndale/cli/main.py
+++ b/thorndale/cli/main.py
@@ -29,15 +29,9 @@
 @app.command()
 def run(file: str = typer.Argument(help="A settings file, JSON5.")):
     """Runs one border proxy until SIGTERM."""
-    from thorndale.daemon.run import StartError
-    from thorndale.daemon.run import run as serve
+    from thorndale.daemon.start import main
 
-    settings, _ = _load(file)
-    try:
-        serve(settings, file)
-    except StartError as fault:
-        typer.echo(f"{file}: {fault}", err=True)
-        raise typer.Exit(1) from None
+    raise typer.Exit(main(file))
 
 
 @app.command()
--- a/thorndale/config/lists.py
+++ b/thorndale/config/lists.py
@@ -9,9 +9,6 @@
 import io
 import os
 
-from ruamel.yaml import YAML
-from ruamel.yaml.error import YAMLError
-
 MAX_LIST_FILE = 32 << 20  # bytes
 FAULTS_MOST = 20  # faults of one file that are listed
 
@@ -61,6 +58,9 @@
 
 
 def _yaml(path, text, columns):
+    from ruamel.yaml import YAML  # a proxy without such a file starts without it
+    from ruamel.yaml.error import YAMLError
+
     try:
         found = YAML(typ="safe", pure=True).load(text)
     except YAMLError as fault:
--- a/thorndale/daemon/run.py
+++ b/thorndale/daemon/run.py
@@ -16,8 +16,6 @@
 from thorndale.daemon.log import open_log
 from thorndale.net.clock import now_us
 from thorndale.net.ends import Ends
-from thorndale.records.hide import hider
-from thorndale.records.store import StoreError, open_store
 
 LOOK_S = 0.05  # between two looks whether the last call has ended, once it is told to stop
 COLLECT_US = 60_000_000  # us between two collections of cycles at least
@@ -29,12 +27,13 @@
     """What keeps the daemon from starting, with what to do."""
 
 
-async def serve(settings, path, ready=lambda: None):
-    """Runs a proxy until it is told to stop; `path` is that of its settings, beside which its rules lie.
+async def serve(settings, path, ready=lambda: None, rules=None):
+    """Runs a proxy until it is told to stop; `path` is that of its settings, beside which its rules lie; `rules` where
+    they have been read already.
 
     Raises StartError before anything is served, ConfigError for rules that are wrong.
     """
-    rules = matching(settings, path)
+    rules = rules or matching(settings, path)
     loop = asyncio.get_running_loop()
     before = descriptors()  # the loop has some of its own
     try:
@@ -115,6 +114,9 @@
     """(Store, hide) by the settings; (None, str) where no records are kept. Raises StartError."""
     if settings.records is None:
         return None, str
+    from thorndale.records.hide import hider  # a proxy that keeps none starts without these
+    from thorndale.records.store import StoreError, open_store
+
     hide = str
     try:
         if settings.records.hash_key_file:
@@ -194,7 +196,7 @@
     return found
 
 
-def run(settings, path):
+def run(settings, path, rules=None):
     """Runs `serve` on uvloop to its end."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(serve(settings, path))
+        runner.run(serve(settings, path, rules=rules))
--- a/thorndale/emulator/day.py
+++ b/thorndale/emulator/day.py
@@ -46,6 +46,9 @@
     delay_us: int = 0
     reports: bool = False
 
+    def joins(self, proxy, server):
+        return proxy in self.proxies and server in self.servers
+
 
 class Day(NamedTuple):
     """`servers`: per site how many. `calls`: a second, of all callers. `outside`: per site set-ups a second from
--- a/thorndale/emulator/fleet.py
+++ b/thorndale/emulator/fleet.py
@@ -123,7 +123,8 @@
             "tick_us": 1_000, "instances": day.proxies, "type_target_us": [t.target_us for t in types],
             "type_guard_us": [t.guard_us for t in types], "type_hold_us": [t.hold_us for t in types],
             "type_revenue": [t.revenue for t in types], "type_late_part": [t.late_part for t in types],
-            "type_pools": [sorted({s.pool for s in self.servers}) for _ in types], "client_quota": [], "over_quota_part": 1.0,
+            "type_pools": [sorted({s.pool for s in self.servers}) for _ in types],
+            "client_quota": [], "over_quota_part": 1.0,
             "release_us": RELEASE_US, "resend_us": 0, "seizures_max": 5, "open_max": 60_000, "may_cancel": True,
             "comeback_told": True, "comeback_max_us": 2 * S, "drain_grace_us": 500_000,
             "start_capacity": WORK.cold_from, "warm_up_us": day.warm_up_us, "fall_multiple": WORK.fall_multiple,
@@ -142,7 +143,8 @@
         if day.policy in ("plain", "oracle"):
             core = module(day.way, seed, settings, number, self.servers)
         else:
-            core = Sites(seed ^ 0x5DEECE66D, settings, self.sites(), module(day.way, seed, expand(settings, self.sites()), number, self.servers))
+            core = module(day.way, seed, expand(settings, self.sites()), number, self.servers)
+            core = Sites(seed ^ 0x5DEECE66D, settings, self.sites(), core)
         equal = 1.0 / day.proxies
         weight = equal if not day.largest else day.largest if number == 0 else (1 - day.largest) / (day.proxies - 1)
         if day.unequal:
@@ -168,7 +170,7 @@
         """A message between a proxy and a server: what the links make of it, and the time it takes."""
         wait = self._way(host, server)
         for link in self.links:
-            if not link.reports and link.way in (way, "both") and host.number in link.proxies and server in link.servers:
+            if not link.reports and link.way in (way, "both") and link.joins(host.number, server):
                 if self.chance.random() < link.lose:
                     return
                 wait += link.delay_us
@@ -357,7 +359,8 @@
         day, kind = self.day, self.day.types[caller.kind]
         caller.tries += 1
         self.calls += 1
-        host = self.chance.choices(self.hosts, self.weights)[0] if day.largest or day.unequal else self.chance.choice(self.hosts)
+        uneven = day.largest or day.unequal
+        host = self.chance.choices(self.hosts, self.weights)[0] if uneven else self.chance.choice(self.hosts)
         held = Try(caller, host)
         held.due = self.now
         if day.policy == "oracle":
@@ -420,7 +423,7 @@
         for host in self.hosts:
             late = 0
             for link in self.links:
-                if link.reports and host.number in link.proxies and server.number in link.servers:
+                if link.reports and link.joins(host.number, server.number):
                     late = -1 if self.chance.random() < link.lose else link.delay_us
             if late >= 0:
                 self._after(late, self._seen, host, server.number, report)
--- a/thorndale/emulator/ways.py
+++ b/thorndale/emulator/ways.py
@@ -1,4 +1,4 @@
-"""Ways of choosing among the servers of a pool, to hold the module's own against: baselines for the bench, never served.
+"""Ways of choosing among the servers of a pool, to hold the module's own against: baselines for the bench alone.
 
 Each is the very module with the order of one pool's servers replaced; guards, budget, pools and all else stay.
 `module(way, seed, settings, number, servers)` makes one; `servers` are the emulator's, for the oracle alone.
--- a/thorndale/match/parse.py
+++ b/thorndale/match/parse.py
@@ -1,9 +1,14 @@
 """Text to trees, by the grammar in grammar.lark. Whatever is wrong is a Fault with its place."""
 
+import contextlib
+from functools import cache
 from importlib import resources
+from io import BytesIO
 
 from lark import Lark, Token, Tree, UnexpectedInput
+from lark import __version__ as version
 from lark.exceptions import UnexpectedCharacters, UnexpectedEOF, UnexpectedToken
+from xxhash import xxh3_64_digest
 
 from thorndale.match.faults import Fault, MatchError
 from thorndale.match.tree import Node
@@ -15,8 +20,25 @@
         "COMMA": ",", "NAME": "a name", "TEXT": "a text", "NUMBER": "a number", "COMPARE": "a comparison", "ADD": "+",
         "SPAN": "a time span", "$END": "the end"}
 
-_grammar = resources.files("thorndale.match").joinpath("grammar.lark").read_text(encoding="utf-8")
-_rules = Lark(_grammar, parser="lalr", start=["start", "expr"], propagate_positions=True, maybe_placeholders=False)
+
+
+def built():
+    """(function that builds the parser, seal): 80 ms. The seal names the grammar and the library that built it."""
+    grammar = resources.files("thorndale.match").joinpath("grammar.lark").read_text(encoding="utf-8")
+    seal = xxh3_64_digest(f"{version} {grammar}".encode())
+    return lambda: Lark(grammar, parser="lalr", start=["start", "expr"], propagate_positions=True,
+                        maybe_placeholders=False), seal
+
+
+@cache
+def _rules():
+    """The parser, from its tables as kept beside the grammar (`python -m thorndale.match.tables`), else built."""
+    build, seal = built()
+    with contextlib.suppress(OSError):
+        kept = resources.files("thorndale.match").joinpath("grammar.tables").read_bytes()
+        if kept.startswith(seal):
+            return Lark.load(BytesIO(kept[len(seal):]))
+    return build()
 
 
 def unescaped(text):
@@ -43,7 +65,7 @@
     if most > DEPTH_MOST:
         raise MatchError([Fault(1, 1, f"brackets stand inside each other deeper than {DEPTH_MOST}")], "", name)
     try:
-        return _rules.parse(source, start=start)
+        return _rules().parse(source, start=start)
     except UnexpectedInput as bad:
         raise MatchError([_unexpected(bad, source)], source, name) from None
 
--- a/thorndale/spread/measure.py
+++ b/thorndale/spread/measure.py
@@ -3,10 +3,10 @@
 `rows` are lists of counts, one a server, all of one length: set-ups in each second. `pools` are lists of indices into
 `rows`; `parts` the capacity of each server beside the others of its pool, any unit (None: alike).
 
-What is told apart from chance: under independent draws by `parts`, the count of one server in a window of n calls of its
-pool has the variance n p (1 - p). `variance` is the mean square of what was seen beside that: 1 for such draws, less for
-what is more even, more where calls run together. `peak` is what one server got in a second beside its part, less what
-chance gives to the largest of so many draws, sqrt(2 ln cells) standard deviations.
+What is told apart from chance: under independent draws by `parts`, the count of one server in a window of n calls of
+its pool has the variance n p (1 - p). `variance` is the mean square of what was seen beside that: 1 for such draws,
+less for what is more even, more where calls run together. `peak` is what one server got in a second beside its part,
+less what chance gives to the largest of so many draws, sqrt(2 ln cells) standard deviations.
 """
 
 from math import log, sqrt
@@ -106,7 +106,9 @@
         for at in range(from_s, len(rows[0]) - window_s + 1):
             counts = [sum(rows[s][at:at + window_s]) for s in pool]
             n = sum(counts)
-            if any(abs(c - n * p) > within * n * p + 2 * sqrt(n * p * (1 - p)) for c, p in zip(counts, own, strict=True)):
+            off = (abs(c - n * p) - within * n * p - 2 * sqrt(n * p * (1 - p))
+                   for c, p in zip(counts, own, strict=True))
+            if max(off) > 0:
                 last = max(last, at + 1)
     return None if last > len(rows[0]) - 2 * window_s else last - from_s
 
