--- a/thorndale/call/border.py
+++ b/thorndale/call/border.py
@@ -19,6 +19,7 @@
 from thorndale.call.passing import hops_left, refused_extensions
 from thorndale.call.press import Press
 from thorndale.call.sort import Sorter, hidden, masked
+from thorndale.call.tally import Tally
 from thorndale.door import Door
 from thorndale.records.ledger import Unkept
 from thorndale.sip import message as m
@@ -61,6 +62,7 @@
         self.server_hops = [hop_of(s.uri) for s in settings.servers]
         self.server_names = [s.name for s in settings.servers]
         self.server_groups = [s.trunk_group for s in settings.servers]
+        self.tally = Tally(self.server_names, self.server_groups)
         self.type_names = [t.name for t in settings.call_types]
         self.revenue_classes = [f"{t.revenue:g}" for t in settings.call_types]
         self.client_names = [c.name for c in settings.clients] or [""]
@@ -282,6 +284,7 @@
         elif name == "sweep":
             self.sweep_timer = self.timers.set(now + SWEEP_US, self, "sweep")
             self.ledger.mark(now, self.wall_us())
+            self._say_spread(now)
             standing = self.standing
             while standing and (standing[0][1].state == "over" or standing[0][0] + self.longest_us <= now):
                 call = standing.popleft()[1]
@@ -311,6 +314,7 @@
                 else:
                     call = door.calls[action.call]
                     if kind is io.Seize:
+                        self.tally.sent(self.wall_us(), action.server)
                         call.seize(now, action.server, action.timeout_us)
                     elif kind is io.Cancel:
                         call.cancel(now)
@@ -454,6 +458,7 @@
     def stop(self, now):
         """No new calls from now on; what is under way goes on."""
         self.now, self.stopping = now, True
+        self._say_spread(now, True)
         if self.book is not None:
             self.book.stop(now)
 
@@ -474,6 +479,13 @@
     def open_calls(self):
         return sum(1 for owner in self.owners.values() if isinstance(owner, Call))
 
+    def _say_spread(self, now, last=False):
+        """The log's line on what went to each server; with `last`, of the span that is not over."""
+        module = getattr(self.door.module, "module", self.door.module)
+        told = self.tally.due(self.wall_us() + last * 10_000_000, now, module)
+        if told is not None:
+            self.say("info", "set-ups", second=told[0], rows=told[1])
+
     def finish(self):
         """Takes back the timers that run for ever: after it, whatever is left is a leak."""
         for timer in (self.module_timer, self.sweep_timer, self.record_timer):
--- a/thorndale/cli/main.py
+++ b/thorndale/cli/main.py
@@ -1,5 +1,6 @@
 """`thorndale run FILE`, `check FILE`, `match FILE --number N`, `match test FILE EXAMPLES`,
-`match fmt RULES`, `day DAY`, `plan FILE --lose NAME`, `records verify|show|rate|export|settle|erase FOLDER...`.
+`match fmt RULES`, `day DAY`, `plan FILE --lose NAME`, `balance PLACE...`,
+`records verify|show|rate|export|settle|erase FOLDER...`.
 
 Exit codes: 0 done; 1 it could not be done, or a rule was broken; 2 the input is wrong and nothing was opened.
 """
@@ -144,5 +145,16 @@
         raise typer.Exit(1) from None
 
 
+@app.command()
+def balance(
+    places: list[str] = typer.Argument(help="Logs of proxies, or folders with them."),
+    proxy: str = typer.Option("", help="Also what this one sent to each server, and why."),
+):
+    """How evenly a fleet used its central servers: shares, herds by second, servers left idle."""
+    from thorndale.cli.balance import balance as told
+
+    raise typer.Exit(told(places, proxy, typer.echo))
+
+
 if __name__ == "__main__":
     sys.exit(app())
--- a/thorndale/spread/measure.py
+++ b/thorndale/spread/measure.py
@@ -80,9 +80,10 @@
     return sorted(found)
 
 
-def peak(rows, pools, parts=None, from_s=0, until_s=None):
-    """(share beyond chance beside its part, server, second) of the worst second: 1 is no more than its part."""
-    cells = max(2, sum(len(pool) for pool in pools) * len(rows[0][from_s:until_s]))
+def peak(rows, pools, parts=None, from_s=0, until_s=None, among_s=0):
+    """(share beyond chance beside its part, server, second) of the worst second: 1 is no more than its part. `among_s`:
+    the seconds that chance is reckoned over, where they are more than those looked at."""
+    cells = max(2, sum(len(pool) for pool in pools) * max(among_s, len(rows[0][from_s:until_s])))
     chance, worst = sqrt(2 * log(cells)), (0.0, -1, -1)
     for pool in pools:
         own = parts_of(pool, parts)
--- a/thorndale/standins/box.py
+++ b/thorndale/standins/box.py
@@ -5,6 +5,7 @@
 from thorndale.net.clock import now_us
 from thorndale.sip.dialog import Dialog, via_text
 from thorndale.sip.errors import SipError
+from thorndale.sip.uri import parse_uri
 from thorndale.standins.agent import Agent
 from thorndale.standins.processor import Processor
 
@@ -44,6 +45,8 @@
         self.flood = self.held_back = False
         self.reports = deque([(0, 0)])
         self.conns = {}  # a connection's hop: the sent-by of the proxy whose set-ups come by it
+        self.setups, self.waits = {}, []  # second: set-ups; us that each met at the processor
+        self.told_to = {}  # port of a proxy: 'lost', or the load header that it gets again and again
         self.note = lambda number, sorted_: None  # told what the proxy's rules made of each set-up
 
     def uri(self):
@@ -68,14 +71,34 @@
             tx.state = "terminated"
             self.layer.forget(tx)
 
-    def load(self, now):
-        """The load header: what it knew of itself at its last look, or a later one's lateness ago."""
-        if now - self.reports[-1][0] >= REPORT_US:
-            self.reports.append((now, self.processor.wait(now)))
+    def set(self, name, value):
+        """A fault begins or ends."""
+        if name == "slowness":
+            self.processor.slowness = value
+        else:
+            setattr(self, name, value)
+
+    def stop_now(self):
+        """What a box does at the end of its drain: the calls that it carries are cut."""
+        now = now_us()
+        for call in list(self.calls.values()):
+            self.release(now, call, 41)
+        self.arm()
+
+    def load(self, now, tx):
+        """The load header as a list of none or one: what a set-up met at its last look, or a later one's lateness
+        ago; a set-up that comes looks before it adds to the wait itself."""
         while len(self.reports) > 1 and self.reports[1][0] <= now - self.report_late_us:
             self.reports.popleft()
         free, wait = max(0, self.lines - self.used), self.reports[0][1] / 1000
-        return ("X-Load", f"free={free};lines={self.lines};wait={wait:.1f}")
+        header = ("X-Load", f"free={free};lines={self.lines};wait={wait:.1f}")
+        if self.told_to:
+            port = tx.message.via.port
+            kept = self.told_to.get(port)
+            if kept == "stuck":
+                self.told_to[port] = kept = header
+            return [] if kept == "lost" else [kept or header]
+        return [header]
 
     def lost(self, now, hop, kind):
         """A connection has ended: what still came by it after it was dropped is reset too."""
@@ -113,6 +136,11 @@
             via = tx.message.via
             self.conns[tx.hop] = f"{via.host}:{via.port}".encode()
         tx.respond(now, 100)
+        wait = self.processor.wait(now)
+        if now - self.reports[-1][0] >= REPORT_US:
+            self.reports.append((now, wait))
+        self.setups[now // 1_000_000] = self.setups.get(now // 1_000_000, 0) + 1
+        self.waits.append(wait)
         self.note(tx.message.uri.partition(":")[2], tx.message.get("x-sorted"))
         if self.flood:
             self.processor._do(now, self.work.reject_us)
@@ -133,10 +161,10 @@
             self.mute = True  # it stays down
             return
         if done is None:
-            tx.respond(now, 503, "x", extra=[("Reason", "Q.850;cause=42"), ("Retry-After", "1"), self.load(now)])
+            tx.respond(now, 503, "x", extra=[("Reason", "Q.850;cause=42"), ("Retry-After", "1"), *self.load(now, tx)])
             return
         if self.used >= self.lines:
-            tx.respond(now, 503, "x", extra=[("Reason", "Q.850;cause=34"), self.load(now)])
+            tx.respond(now, 503, "x", extra=[("Reason", "Q.850;cause=34"), *self.load(now, tx)])
             return
         call = self.calls[tx.message.call_id] = Standing(self, tx)
         self.used += 1
@@ -150,7 +178,7 @@
             return
         number = tx.message.uri.partition("@")[0]
         if number.endswith("00"):  # numbers that are always engaged
-            tx.respond(now, 486, "x", extra=[self.load(now)])
+            tx.respond(now, 486, "x", extra=self.load(now, tx))
             self._drop(call)
             return
         self.processor.answer(now)
@@ -165,9 +193,9 @@
             self._drop(call)
             return
         call.state, call.gap, call.until = "answered", self.times.t1, now + self.times.most
-        tx.respond(now, 180, tag, extra=[("Contact", self.contact(self.transport)), self.load(now)])
-        tx.respond(now, 200, tag, extra=[("Contact", self.contact(self.transport)), self.load(now),
-                                         ("Content-Type", "application/sdp")], body=b"v=0\r\ns=box\r\n")
+        extra = [("Contact", self._asked_at(tx.message)), *self.load(now, tx)]
+        tx.respond(now, 180, tag, extra=extra)
+        tx.respond(now, 200, tag, extra=[*extra, ("Content-Type", "application/sdp")], body=b"v=0\r\ns=box\r\n")
         call.timer = self.timers.set(now + call.gap, call, "repeat")
 
     def repeat(self, now, call):
@@ -193,10 +221,10 @@
             via = via_text(self.transport, "127.0.0.1", self.port, self.branch())
             self.layer.request(now, call.dialog.request("BYE", via, extra), call.dialog.hop, self)
 
-    def stop_all(self, now):
-        """What a box does at the end of its drain: the calls that it carries are cut."""
-        for call in list(self.calls.values()):
-            self.release(now, call, 41)
+    def _asked_at(self, message):
+        """A Contact of the address that the set-up was sent to: a relay's, where one stands before this box."""
+        port = parse_uri(message.uri).port or self.port
+        return f"<sip:127.0.0.1:{port}{';transport=tcp' if self.transport == 'tcp' else ''}>"
 
     def _drop(self, call):
         self.timers.cancel(call.timer)
--- a/thorndale/standins/callers.py
+++ b/thorndale/standins/callers.py
@@ -66,8 +66,8 @@
     """`ledger(now, event, try)` is told 'offered', 'stood', 'rejected', 'released', 'left', 'cut', 'no answer'."""
 
     def __init__(self, loop, limits, port, kinds, proxies, chance, ledger, saw, times=None, cancel_part=0.0,
-                 redials=3):
-        super().__init__(loop, limits, "caller", saw, times)
+                 redials=3, place="caller"):
+        super().__init__(loop, limits, place, saw, times)
         self.listeners = [("udp", "127.0.0.1", port), ("tcp", "127.0.0.1", port)]
         self.kinds, self.proxies, self.chance, self.ledger = kinds, proxies, chance, ledger
         self.cancel_part, self.redials = cancel_part, redials
--- a/thorndale/standins/poolbook.py
+++ b/thorndale/standins/poolbook.py
@@ -18,6 +18,7 @@
         self.version, self.list, self.subscribers, self.log = 0, {}, {}, []
         self.edition = f"{now_us():x}"  # versions count within one run of the book
         self.muddle = False  # repeats and swaps notifications
+        self.told_late = {}  # port of a proxy: us that it is told later
 
     def start(self):
         self.open([self.listener])
@@ -35,6 +36,7 @@
         body = {"book": self.edition, "version": self.version, "full": False, "servers": [entry]}
         for tag in sorted(self.subscribers):
             wait = int(self.notice_us * (0.5 + self.chance()))
+            wait += self.told_late.get(self.subscribers[tag].dialog.hop.port, 0)
             at = max(now + wait, self.subscribers[tag].last_at + 1)
             self.subscribers[tag].last_at = at
             self.timers.set(at, self.subscribers[tag], body)
--- a/thorndale/standins/script.py
+++ b/thorndale/standins/script.py
@@ -7,10 +7,13 @@
 from msgspec import Meta, Struct, convert
 
 from thorndale.config.load import ConfigError, shaped
+from thorndale.standins.links import LinkPlan, overlaps
 
 Us = Annotated[float, Meta(gt=0)]
 KINDS = ("dies", "drains", "slow", "hangs", "ages", "loses answers", "resets", "reports late", "floods", "proxy killed",
-         "proxy stopped", "burst", "one proxy", "book lost", "book muddled", "rules of proxy", "rules of proxy cut off")
+         "proxy stopped", "burst", "one proxy", "book lost", "book muddled", "book late to proxy",
+         "reports lost to proxy", "reports stuck at proxy", "rules of proxy", "rules of proxy cut off")
+ALL = "all"  # in place of names: all boxes, or all proxies
 
 
 class BoxPlan(Struct, forbid_unknown_fields=True):
@@ -53,7 +56,7 @@
     rate: Annotated[float, Meta(gt=0, le=5000)]
     boxes: Annotated[list[BoxPlan], Meta(min_length=1)]
     types: Annotated[list[TypePlan], Meta(min_length=1)]
-    proxies: Annotated[int, Meta(ge=1, le=32)] = 3
+    proxies: Annotated[int, Meta(ge=1, le=1000)] = 3
     seed: int = 1
     tcp_part: float = 0.3
     cancel_part: float = 0.0
@@ -70,6 +73,8 @@
     records: str = ""  # how answers and records are ordered; '' keeps none
     sites: list[SitePlan] = []
     faults: list[Fault] = []
+    links: list[LinkPlan] = []
+    uneven: bool = False  # some proxies get several times the calls of others
 
 
 def read_day(raw, where):
@@ -81,14 +86,31 @@
     day = convert(raw, Day)
     boxes = {b.name for b in day.boxes}
     proxies = {f"proxy{n + 1}" for n in range(day.proxies)}
+    for n, link in enumerate(day.links):
+        for field, among in (("to", boxes), ("proxies", proxies)):
+            for name in getattr(link, field):
+                if name not in among:
+                    faults.append(f"links[{n}].{field}: {name!r} is none of {', '.join(sorted(among))[:200]}")
+        if not link.to:
+            faults.append(f"links[{n}].to: names nobody")
+        if link.at >= day.seconds:
+            faults.append(f"links[{n}].at: {link.at} is after the end")
+    for a, b in overlaps(day.links):
+        faults.append(f"links[{b}]: overlaps links[{a}]: the same fault on the same link at one time")
     for n, fault in enumerate(day.faults):
+        if fault.who == [ALL]:
+            fault.who = sorted(proxies if "proxy" in fault.kind else boxes)
+        for m, other in enumerate(day.faults[:n]):
+            if other.kind == fault.kind and (set(other.who) & set(fault.who) or not fault.who) \
+                    and fault.at < other.at + other.seconds and other.at < fault.at + fault.seconds:
+                faults.append(f"faults[{n}]: overlaps faults[{m}]: {fault.kind!r} is in force there already")
         if fault.kind not in KINDS:
             faults.append(f"faults[{n}].kind: {fault.kind!r} is none of {', '.join(KINDS)}")
             continue
         among = proxies if "proxy" in fault.kind else boxes
         for name in fault.who:
             if name not in among:
-                faults.append(f"faults[{n}].who: {name!r} is none of {', '.join(sorted(among))}")
+                faults.append(f"faults[{n}].who: {name!r} is none of {', '.join(sorted(among))[:200]}")
         if not fault.who and fault.kind not in ("burst", "book lost", "book muddled"):
             faults.append(f"faults[{n}].who: {fault.kind!r} needs at least one")
         if fault.at >= day.seconds:
