--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -345,3 +345,120 @@
             bench.later(gap)
             bench.ended(call, 0, io.RESET, final=True)
         assert (bench.proxy.score[0] >= 4) == failed
+
+
+# ---- several servers in one pool ----
+
+
+def one_pool(servers, seed=1, started=0, **other):
+    bench = Bench(0, seed=seed, **other)
+    bench.tell(*[io.Server(s, 0, io.SERVING, started) for s in range(servers)], whole=True)
+    return bench
+
+
+def stands(bench):
+    """A call that is set up at once and ends; gives the server that had it."""
+    server = bench.call(0)[0].server
+    bench.stood(bench.next, server)
+    bench.ended(bench.next, server, io.COMPLETED, final=True)
+    return server
+
+
+def test_many_proxies_with_few_calls_each_fill_a_pool_evenly_and_not_in_the_order_of_the_list():
+    fleet = [one_pool(6, seed=n + 1) for n in range(200)]
+    firsts = [stands(bench) for bench in fleet]
+    assert all(15 < firsts.count(s) < 55 for s in range(6)), firsts  # by chance 33, five deviations off
+    sent = [stands(bench) for bench in fleet for _ in range(8)]
+    due = len(sent) / 6
+    spread = sum((sent.count(s) - due) ** 2 for s in range(6)) / (6 * due * 5 / 6)
+    assert spread < 0.6, spread  # 1: drawn independently
+
+
+def test_a_pool_of_one_server_draws_no_chance_for_its_turns():
+    one, none = Bench(2, seed=3), Bench(2, seed=3)
+    none.proxy._in_turn = lambda pool: none.proxy.by_pool.get(pool, ())
+    none.proxy._pass_turn = none.proxy._weigh = lambda *given: None
+    for bench in (one, none):
+        for n in range(30):
+            stands(bench)
+            bench.give(io.Seen(n % 2, io.Report(5, 10, n * MS, None), False))
+    assert one.proxy.chance == none.proxy.chance and one.proxy.turn == [None, None] and one.proxy.share == [1.0, 1.0]
+
+
+def test_a_server_that_is_back_is_owed_no_more_than_its_turn():
+    fleet = [one_pool(3, seed=n + 1) for n in range(60)]
+    for bench in fleet:
+        stands(bench)
+        bench.proxy.skip_until[0] = bench.now + SKIP_US
+        assert 0 not in [stands(bench) for _ in range(20)]  # it misses a third of them
+        bench.later(SKIP_US)
+    back = [stands(bench) for bench in fleet for _ in range(3)]
+    assert 45 <= back.count(0) <= 75, back.count(0)  # its third of 180, no more
+
+
+def test_a_proxy_with_many_calls_goes_by_what_is_out():
+    bench = one_pool(3)
+    out = []
+    for _ in range(60):
+        server = bench.call(0)[0].server
+        out.append(server)
+        if server != 0:  # server 0 answers none
+            bench.stood(bench.next, server)
+            bench.ended(bench.next, server, io.COMPLETED, final=True)
+    assert out.count(0) <= 3 and min(out.count(1), out.count(2)) > 25
+
+
+def told(bench, server, wait):
+    bench.give(io.Seen(server, io.Report(None, None, wait, None), False))
+
+
+def test_a_server_found_at_work_more_often_gets_a_smaller_share_and_forgets_it():
+    bench = one_pool(2)
+    for n in range(600):
+        bench.later(500 * MS)
+        told(bench, 0, 20 * MS + n if n % 10 < 9 else 0)  # at work nine looks in ten
+        told(bench, 1, 20 * MS + n if n % 10 < 3 else n % 3)
+    share = bench.proxy.share
+    assert 3 * share[0] < share[1], share
+    sent = [stands(bench) for _ in range(200)]
+    chance = share[0] / sum(share)
+    assert abs(sent.count(0) / 200 - chance) < 0.03
+    bench.later(7200 * S)  # nothing heard for two hours
+    told(bench, 0, 0)
+    assert 0.9 < bench.proxy.share[0] < 1.1
+    bench.proxy.share[1] = 3.0
+    bench.tell(io.Server(1, 0, io.SERVING, bench.now))  # a new process
+    assert bench.proxy.share[1] == 1.0
+
+
+def test_a_share_is_not_learned_of_a_cold_server_nor_without_bound():
+    bench = one_pool(2, started=99 * S)
+    for n in range(40):
+        told(bench, 0, 900 * MS + n)
+        told(bench, 1, n % 2)
+        bench.later(200 * MS)
+    assert bench.proxy.share == [1.0, 1.0]
+    bench.later(20 * S)
+    for n in range(4000):
+        told(bench, 0, 900 * MS + n)
+        told(bench, 1, n % 2)
+        bench.later(200 * MS)
+    assert bench.proxy.share[0] >= 0.25 and bench.proxy.share[1] <= 4.0
+
+
+def test_errors_that_come_fast_draw_no_calls():
+    bench, sent = one_pool(3), []
+    for _ in range(120):
+        server = bench.call(0)[0].server
+        sent.append(server)
+        if server == 0:
+            bench.ended(bench.next, server, io.FAULTY, lag=1 * MS)
+            again = [a for a in bench.later(60 * MS) if type(a) is io.Seize]
+            if again:
+                bench.stood(bench.next, again[0].server, seizure=1)
+                bench.ended(bench.next, again[0].server, io.COMPLETED, seizure=1, final=True)
+        else:
+            bench.stood(bench.next, server)
+            bench.ended(bench.next, server, io.COMPLETED, final=True)
+        bench.later(20 * MS)
+    assert sent[30:].count(0) < 12, sent
