--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -236,13 +236,16 @@
         least = wait if self.least_told[s] is None else self.least_told[s]
         busy = wait > least + IDLE_US
         self.least_told[s] = min(wait, least + (wait - least) * LEAST_PART)
-        passed, self.looked_at[s] = self.now - self.looked_at[s], self.now
+        known, passed, self.looked_at[s] = self._fair(s), self.now - self.looked_at[s], self.now
         step = min(WEIGH_MOST, passed / WEIGH_US)
         busy += min(FULL_MOST - 1, (wait / (PRESS_AT * self.limit)) ** 2)  # found at work says no more when all is full
         mean = self.busy.get(self.pool[s], busy)
         self.busy[self.pool[s]] = mean + (busy - mean) * step / len(servers)
-        share = self.share[s] ** exp(-passed / FADE_US) * exp(step * (mean - busy))
-        self.share[s] = min(SHARE_MOST, max(1 / SHARE_MOST, share))
+        self.share[s] = min(SHARE_MOST, max(1 / SHARE_MOST, known * exp(step * (mean - busy))))
+
+    def _fair(self, s):
+        """The share of server s as far as it is still known: it fades toward an equal one, never to certainty."""
+        return self.share[s] ** exp((self.looked_at[s] - self.now) / FADE_US)
 
     def _observe(self, s, wait, at):
         """Takes a wait that a set-up sent at that time met, unless this proxy was held up and the wait may
@@ -464,7 +467,7 @@
         servers = self.by_pool.get(pool, ())
         if len(servers) < 2:
             return servers
-        return sorted(servers, key=lambda s: len(self.out[s]) / self.share[s] - self.turn[s])
+        return sorted(servers, key=lambda s: len(self.out[s]) / self._fair(s) - self.turn[s])
 
     def _pass_turn(self, s, fit):
         """Server s has had its turn, whether the guards let the call go there or not: what is not taken is not
@@ -472,9 +475,9 @@
         pool = [o for o in fit if self.pool[o] == self.pool[s]]
         if len(pool) < 2:
             return
-        whole = sum(self.share[o] for o in pool)
-        for o in pool:
-            self.turn[o] = min(TURN_MOST, self.turn[o] + self.share[o] / whole)
+        fair = [self._fair(o) for o in pool]
+        for o, part in zip(pool, fair):
+            self.turn[o] = min(TURN_MOST, self.turn[o] + part / sum(fair))
         self.turn[s] = max(-TURN_MOST, self.turn[s] - 1)
 
     def _route(self, held, avoid=-1):
