--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -55,7 +55,7 @@
 TURN_MOST = 1.0  # calls that a server can be owed or ahead by in its pool: more, and its return is a herd
 IDLE_US = 1_000  # us of told wait over the least told from which a processor was found at work
 LEAST_PART = 0.01  # of a told wait by which the least told follows, for a figure that begins to tell more
-WEIGH_US = 100_000_000  # us in which busy looks move a share by their whole: faster, and chance looks like size
+WEIGH_US = 100_000_000  # us in which looks move a share by their whole: faster, and chance passes for size
 WEIGH_MOST = 0.2  # most that one look counts for, however long ago the last: some five looks
 FULL_MOST = 4.0  # looks that one counts for at most, by the square of a wait over the one that is held
 SHARE_MOST = 4.0  # times an equal share, and its inverse: what is learned beyond is taken for a fault
@@ -227,9 +227,9 @@
 
     def _weigh(self, s, wait):
         """Learns the share of server s in its pool: less where it is found at work more often than the others.
-        A look finds a processor of any size at work as often as it is used, so equal parts of busy looks are load
-        by capacity, whoever sent it. Guards against unlike servers taken for alike; harms by the noise of few
-        looks, which differs from proxy to proxy and so levels out in the sum."""
+        A look finds a processor of any size at work as often as it is used, so equal parts of busy looks are
+        load by capacity, whoever sent it. Guards against unlike servers taken for alike; harms by the noise of
+        few looks, which differs from proxy to proxy and so levels out in the sum."""
         servers = self.by_pool.get(self.pool[s], ())
         if len(servers) < 2 or s not in servers or self._cold(s):
             return
@@ -238,13 +238,13 @@
         self.least_told[s] = min(wait, least + (wait - least) * LEAST_PART)
         known, passed, self.looked_at[s] = self._fair(s), self.now - self.looked_at[s], self.now
         step = min(WEIGH_MOST, passed / WEIGH_US)
-        busy += min(FULL_MOST - 1, (wait / (PRESS_AT * self.limit)) ** 2)  # found at work says no more when all is full
+        busy += min(FULL_MOST - 1, (wait / (PRESS_AT * self.limit)) ** 2)  # where all are, it alone tells no more
         mean = self.busy.get(self.pool[s], busy)
         self.busy[self.pool[s]] = mean + (busy - mean) * step / len(servers)
         self.share[s] = min(SHARE_MOST, max(1 / SHARE_MOST, known * exp(step * (mean - busy))))
 
     def _fair(self, s):
-        """The share of server s as far as it is still known: it fades toward an equal one, never to certainty."""
+        """The share of server s as far as it is known still: it fades toward an equal one."""
         return self.share[s] ** exp((self.looked_at[s] - self.now) / FADE_US)
 
     def _observe(self, s, wait, at):
@@ -461,22 +461,22 @@
 
     def _in_turn(self, pool):
         """The servers of a pool, first the one that is owed most of this proxy's calls, each call that is out
-        there counted as one too many. Every proxy deals its own calls, from a place drawn at the start: few as
-        they are, the sum over all is more even than drawing, and no figure is shared that all could run after.
-        Guards against herds and servers left idle; harms nothing where pools have one server."""
+        there counted as one too many. Every proxy deals its own calls, from a place drawn at the start: few
+        as they are, the sum over all is more even than drawing, and no figure is shared that all could run
+        after. Guards against herds and servers left idle; harms nothing where pools have one server."""
         servers = self.by_pool.get(pool, ())
         if len(servers) < 2:
             return servers
         return sorted(servers, key=lambda s: len(self.out[s]) / self._fair(s) - self.turn[s])
 
     def _pass_turn(self, s, fit):
-        """Server s has had its turn, whether the guards let the call go there or not: what is not taken is not
-        owed, or a server that is back would be owed calls by all proxies at once."""
+        """Server s has had its turn, whether the guards let the call go there or not: what is not taken is
+        not owed, or a server that is back would be owed calls by all proxies at once."""
         pool = [o for o in fit if self.pool[o] == self.pool[s]]
         if len(pool) < 2:
             return
         fair = [self._fair(o) for o in pool]
-        for o, part in zip(pool, fair):
+        for o, part in zip(pool, fair, strict=True):
             self.turn[o] = min(TURN_MOST, self.turn[o] + part / sum(fair))
         self.turn[s] = max(-TURN_MOST, self.turn[s] - 1)
 
