--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -226,10 +226,10 @@
             self._weigh(s, report.wait_us)
 
     def _weigh(self, s, wait):
-        """Learns the share of server s in its pool: less where it is found at work more often than the others.
-        A look finds a processor of any size at work as often as it is used, so equal parts of busy looks are
-        load by capacity, whoever sent it. Guards against unlike servers taken for alike; harms by the noise of
-        few looks, which differs from proxy to proxy and so levels out in the sum."""
+        """Learns the share of server s in its pool: less where it is found at work more often than others. A
+        look finds a processor of any size at work as often as it is used, so equal parts of busy looks are load
+        by capacity, whoever sent it. Guards against unlike servers taken for alike; harms by the noise of few
+        looks, which differs from proxy to proxy and so levels out in the sum."""
         servers = self.by_pool.get(self.pool[s], ())
         if len(servers) < 2 or s not in servers or self._cold(s):
             return
@@ -238,7 +238,7 @@
         self.least_told[s] = min(wait, least + (wait - least) * LEAST_PART)
         known, passed, self.looked_at[s] = self._fair(s), self.now - self.looked_at[s], self.now
         step = min(WEIGH_MOST, passed / WEIGH_US)
-        busy += min(FULL_MOST - 1, (wait / (PRESS_AT * self.limit)) ** 2)  # where all are, it alone tells no more
+        busy += min(FULL_MOST - 1, (wait / (PRESS_AT * self.limit)) ** 2)  # where all are, it tells no more
         mean = self.busy.get(self.pool[s], busy)
         self.busy[self.pool[s]] = mean + (busy - mean) * step / len(servers)
         self.share[s] = min(SHARE_MOST, max(1 / SHARE_MOST, known * exp(step * (mean - busy))))
