--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -227,9 +227,9 @@
 
     def _weigh(self, s, wait):
         """Learns the share of server s in its pool: less where it is found at work more often than others. A
-        look finds a processor of any size at work as often as it is used, so equal parts of busy looks are load
-        by capacity, whoever sent it. Guards against unlike servers taken for alike; harms by the noise of few
-        looks, which differs from proxy to proxy and so levels out in the sum."""
+        look finds a processor of any size at work as often as it is used, so equal parts of busy looks are
+        load by capacity, whoever sent it. Guards against unlike servers taken for alike; harms by the noise
+        of few looks, which differs from proxy to proxy and so levels out in the sum."""
         servers = self.by_pool.get(self.pool[s], ())
         if len(servers) < 2 or s not in servers or self._cold(s):
             return
