A cold server of a pool is asked for each call, at its pace, and takes no turns

Need: in the emulator (simulated) a server that returned cold into a pool got 1 set-up a second or none for its whole warm-up of 12 s, where its pace allowed 3 to 8. Cause: asked on its turn alone, each proxy met it once in 24 s, and credit is kept for half the fall time. The change: cold servers come first in the order of their pool, so that the pace alone bounds them; they take no turns meanwhile and are owed none.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -464,3 +464,22 @@
             bench.ended(bench.next, server, io.COMPLETED, final=True)
         bench.later(20 * MS)
     assert sent[30:].count(0) < 12, sent
+
+
+def test_a_cold_server_of_a_pool_is_asked_for_each_call_and_keeps_to_its_pace():
+    fleet, sent = [], {0: 0, 1: 0}
+    for n in range(100):
+        bench = one_pool(2, seed=n + 1, instances=100)
+        for _ in range(15):  # the pool takes 40 set-ups a second
+            bench.give(io.Seen(0, io.Report(9000 - 400, 9000, None, None), False))
+            bench.later(S)
+        bench.tell(io.Server(1, 0, io.SERVING, bench.now))
+        fleet.append(bench)
+    for _ in range(40):  # 4 s with 2 calls a second at each
+        for bench in fleet:
+            bench.later(100 * MS)
+            if bench.proxy._chance() < 0.2:
+                sent[stands(bench)] += 1
+    most = 40 * (0.28 + 0.72 * 4 / 14) * 4  # what may be sent while it warms
+    assert 0.1 * most < sent[1] < most, (sent, most)
+    assert all(abs(bench.proxy.turn[1]) <= 0.5 for bench in fleet)  # nothing is owed to it for that time
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -467,13 +467,14 @@
         servers = self.by_pool.get(pool, ())
         if len(servers) < 2:
             return servers
-        return sorted(servers, key=lambda s: len(self.out[s]) / self._fair(s) - self.turn[s])
+        # A cold one is asked for each call and has no turns: its pace lets few go, and so rarely met it idles.
+        return sorted(servers, key=lambda s: (not self._cold(s), len(self.out[s]) / self._fair(s) - self.turn[s]))
 
     def _pass_turn(self, s, fit):
         """Server s has had its turn, whether the guards let the call go there or not: what is not taken is
         not owed, or a server that is back would be owed calls by all proxies at once."""
-        pool = [o for o in fit if self.pool[o] == self.pool[s]]
-        if len(pool) < 2:
+        pool = [o for o in fit if self.pool[o] == self.pool[s] and not self._cold(o)]
+        if len(pool) < 2 or self._cold(s):
             return
         fair = [self._fair(o) for o in pool]
         for o, part in zip(pool, fair, strict=True):
--- a/thorndale/standins/apart.py
+++ b/thorndale/standins/apart.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import gc
 import heapq
 import itertools
 import multiprocessing
@@ -229,6 +230,7 @@
         for part in self.parts:
             await part.close()
             auditor.messages += part.skipped.result() if part.skipped.done() and not part.skipped.exception() else 0
+        gc.disable()  # millions of small objects that stay: looking through them again and again takes minutes
         merged = heapq.merge(*(heard(part.path) for part in self.parts), sorted(also, key=lambda line: line[0]),
                              key=lambda line: line[0])
         for now, serial, place, way, data in merged:
@@ -236,6 +238,7 @@
                 auditor.did(now, place, way)
             else:
                 auditor.saw(now, place, way, data)
+        gc.enable()
 
     async def close(self):
         for part in self.parts:
