Members: proxies tell each other who is there, by gossip; off unless their list is set

`thorndale fleet view` tells from logs who sees whom, and since when.

On six real processes cut in halves for 12 s: each half sees itself alone, one view again after; a killed one is known as begun anew. Nothing decides on it yet: budgets, counts and judgements follow.

--- /dev/null
+++ b/tests/fleet/test_processes.py
@@ -0,0 +1,85 @@
+"""Members as real processes with a relay between them: cut in halves, one killed, one stopped; and none where none are set."""
+
+import asyncio
+import json
+import subprocess
+import sys
+
+import pytest
+import uvloop
+
+from thorndale.config.load import ConfigError, load
+from thorndale.fleet.view import differences, parts, views
+from thorndale.standins.day import Player, leaks
+from thorndale.standins.links import LinkPlan
+from thorndale.standins.script import Fault, read_day
+
+HALVES = ["proxy1", "proxy2", "proxy3"], ["proxy4", "proxy5", "proxy6"]
+
+
+def test_a_fleet_of_processes_cut_in_halves_is_one_again(tmp_path):
+    day = read_day({
+        "seconds": 34.0, "rate": 30.0, "proxies": 6, "t1_ms": 100, "warm_ms": 3000, "fleet": True,
+        "boxes": [{"name": "box1", "trunk_group": "g", "setup_ms": 10}, {"name": "box2", "trunk_group": "g", "setup_ms": 10}],
+        "types": [{"name": "t", "prefix": "+2", "part": 1.0, "setup_target_ms": 1200, "guard_ms": 9000, "patience_s": 3,
+                   "hold_ms": 1000}]}, "test")
+    day.links = [LinkPlan(at=4, to=HALVES[1], seconds=12.0, proxies=HALVES[0], cut=True),
+                 LinkPlan(at=4, to=["proxy3"], seconds=25.0, proxies=["proxy2"], way="out", lose=0.3, jitter_ms=400)]
+    day.faults = [Fault(20.0, "proxy killed", ["proxy6"], 1.0), Fault(23.0, "proxy stopped", ["proxy1"], 3.0)]
+    player = Player(day, folder=str(tmp_path))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        assert runner.run(player.play()) == [] and leaks(player) == {}
+    assert player.relay.passed["lost"] > 20
+    events = {n: [json.loads(line) for line in open(tmp_path / f"proxy{n}.log")] for n in range(1, 7)}
+    for n, own in events.items():
+        seen = [(e["second"], set(e["alive"]), e["others"]) for e in own if e["event"] == "members"]
+        half = next(set(h) for h in HALVES if f"proxy{n}" in h)
+        if n != 6:  # begun anew later: its log goes on, its views before are there too
+            assert any(alive == half and {m for names in others.values() for m in names} == set(sum(HALVES, [])) - half
+                       for _, alive, others in seen), (n, seen)
+        assert any(len(alive) == 6 for _, alive, _ in seen[1:]), (n, seen)
+        assert all(e["counts"]["unlisted"] == e["counts"]["unreadable"] == 0 for e in own if e["event"] == "members")
+    assert any(e["event"] == "member" and e["member"] == "proxy6" and e["now"] == "begun anew" for e in events[1] + events[2])
+    assert not any(e["event"] == "member" and e["now"] == "dead" and e["member"] in HALVES[0] for n in (2, 3) for e in events[n])
+
+
+def member_lines(proxy, second, alive, others):
+    return json.dumps({"event": "members", "proxy": proxy, "second": second, "alive": alive, "others": others})
+
+
+def test_the_view_tells_where_proxies_differ_and_since_when():
+    lines = [member_lines("a", 100, ["a", "b", "c"], {}), member_lines("a", 110, ["a", "b"], {"dead": ["c"]}),
+             member_lines("a", 120, ["a", "b"], {"dead": ["c"]}), member_lines("b", 121, ["a", "b", "c"], {}),
+             member_lines("old", 20, ["a"], {}), '{"event": "members", "proxy": 3}', "cut {", '{"event": "other"}']
+    found, bad = views(lines)
+    assert bad == 2 and set(found) == {"a", "b", "old"}
+    assert parts(found) == [(["a"], frozenset("ab")), (["b"], frozenset("abc"))]
+    assert [row for row in differences(found) if row[0] == "c"] == [("c", {"dead": ["a"], "alive": ["b"]}, 110)]
+
+
+def test_wrong_lists_of_members_are_named(tmp_path):
+    with open("examples/proxy.json5") as file:
+        text = file.read()
+    body = text[text.index("{") + 1:]
+
+    def faults(fleet):
+        path = tmp_path / "proxy.json5"
+        path.write_text('{ "fleet": ' + json.dumps(fleet) + ", " + body)
+        with pytest.raises(ConfigError) as raised:
+            load(str(path))
+        return "\n".join(raised.value.faults)
+
+    a, b = {"name": "proxy1", "at": "udp:127.0.0.1:7001"}, {"name": "proxy2", "at": "udp:127.0.0.1:7002"}
+    listen = "udp:127.0.0.1:7001"
+    assert "fleet.members[1].name: 'proxy1' stands at fleet.members[0]" in faults({"listen": listen, "members": [a, a]})
+    assert "'proxy1' itself is missing" in faults({"listen": listen, "members": [b]})
+    assert "members speak by datagrams" in faults({"listen": "tcp:127.0.0.1:7001", "members": [a]})
+    many = [a, *({"name": f"p{n}", "at": f"udp:127.0.0.1:{8000 + n}"} for n in range(300))]
+    assert "301 are more than instances" in faults({"listen": listen, "members": many})
+
+
+def test_the_platforms_front_and_a_proxy_without_a_list_hold_nothing_of_it():
+    code = ("import sys, {}; assert not [m for m in sys.modules if m.startswith('thorndale.fleet') "
+            "or m == 'thorndale.daemon.fleet'], sys.modules")
+    for module in ("thorndale.node.shell", "thorndale.daemon.start"):
+        subprocess.run([sys.executable, "-c", code.format(module)], check=True)
--- a/tests/standins/test_links.py
+++ b/tests/standins/test_links.py
@@ -10,7 +10,8 @@
 
 
 def line(side="out", seed=1, **plan):
-    return Line([LinkPlan(at=1.0, to=["box1"], seconds=2.0, **plan)], "proxy1", "box1", side, random.Random(seed).random)
+    ends = ("proxy1", "box1") if side == "out" else ("box1", "proxy1")
+    return Line([LinkPlan(at=1.0, to=["box1"], seconds=2.0, **plan)], *ends, random.Random(seed).random)
 
 
 @pytest.mark.parametrize("plan, way, moments", [
--- a/thorndale/cli/main.py
+++ b/thorndale/cli/main.py
@@ -1,5 +1,5 @@
 """`thorndale run FILE`, `check FILE`, `match FILE --number N`, `match test FILE EXAMPLES`,
-`match fmt RULES`, `day DAY`, `plan FILE --lose NAME`, `balance PLACE...`,
+`match fmt RULES`, `day DAY`, `plan FILE --lose NAME`, `balance PLACE...`, `fleet view PLACE...`,
 `records verify|show|rate|export|settle|erase FOLDER...`.
 
 Exit codes: 0 done; 1 it could not be done, or a rule was broken; 2 the input is wrong and nothing was opened.
@@ -9,12 +9,14 @@
 
 import typer
 
+from thorndale.cli.fleet import app as fleet
 from thorndale.cli.records import app as records
 from thorndale.config.load import ConfigError, load, matching
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, help="A call router over trunk groups.",
                   pretty_exceptions_enable=False)
 app.add_typer(records, name="records")
+app.add_typer(fleet, name="fleet")
 
 
 def _load(path):
--- a/thorndale/config/load.py
+++ b/thorndale/config/load.py
@@ -230,6 +230,34 @@
         faults.append(f"load_header: {settings.load_header!r} is no header name")
     if settings.book is not None:
         uri("book.uri", settings.book.uri)
+    if settings.fleet is not None:
+        faults += _fleet(settings)
     if settings.sip.t1_ms > settings.sip.t2_ms:
         faults.append("sip.t1_ms: is over t2_ms")
     return faults
+
+
+def _fleet(settings):
+    """Faults of the list of members."""
+    fleet, faults, seen, places = settings.fleet, [], {}, {}
+    places_of = [("fleet.listen", fleet.listen)]
+    for n, member in enumerate(fleet.members):
+        places_of.append((f"fleet.members[{n}].at", member.at))
+        if member.name in seen:
+            first = seen[member.name]
+            faults.append(f"fleet.members[{n}].name: {member.name!r} stands at fleet.members[{first}] already")
+        seen.setdefault(member.name, n)
+        if member.at in places:
+            faults.append(f"fleet.members[{n}].at: {member.at!r} is that of fleet.members[{places[member.at]}] already")
+        places.setdefault(member.at, n)
+    for path, text in places_of:
+        try:
+            if listener(text)[0] != "udp":
+                faults.append(f"{path}: {text!r} should begin with 'udp:'; members speak by datagrams")
+        except ValueError as fault:
+            faults.append(f"{path}: {fault}")
+    if settings.name not in seen:
+        faults.append(f"fleet.members: {settings.name!r} itself is missing; name every proxy, this one too")
+    if len(fleet.members) > settings.instances:
+        faults.append(f"fleet.members: {len(fleet.members)} are more than instances, {settings.instances}")
+    return faults
--- a/thorndale/config/settings.py
+++ b/thorndale/config/settings.py
@@ -146,6 +146,21 @@
     hash_key_file: str = ""
 
 
+class Member(Struct, forbid_unknown_fields=True, frozen=True):
+    """A border proxy of the fleet, by the `name` in its own settings; `at` is where it hears the others."""
+
+    name: Name
+    at: str
+
+
+class Fleet(Struct, forbid_unknown_fields=True, frozen=True):
+    """The proxies that tell each other who is there: all of them, this one included; `listen` is where this one hears
+    them. Left out, no datagram goes to another proxy."""
+
+    listen: str
+    members: Annotated[list[Member], Meta(min_length=1)]
+
+
 class Settings(Struct, forbid_unknown_fields=True, frozen=True):
     listen: Annotated[list[str], Meta(min_length=1)]
     trunk_groups: Annotated[list[TrunkGroup], Meta(min_length=1)]
@@ -160,6 +175,7 @@
     load_header: str = "X-Load"
     book: Book | None = None
     records: Records | None = None
+    fleet: Fleet | None = None
     rules: Rules = Rules()
     comeback: Comeback = Comeback()
     limits: Limits = Limits()
--- /dev/null
+++ b/thorndale/daemon/fleet.py
@@ -0,0 +1,110 @@
+"""The sockets and the clock round the fleet's members: one datagram socket, one timer, log lines at a bounded rate."""
+
+import time
+
+from thorndale.config.load import listener
+from thorndale.fleet import wire
+from thorndale.fleet.members import STATES, Members
+from thorndale.net.clock import now_us
+from thorndale.net.udp import Udp
+
+VIEW_S = 10  # seconds between two log lines on who is there
+SAY_S = 1.0  # seconds between two log lines on bad datagrams
+CHANGES_S = 20  # changes of members that are logged in a second; the rest is counted
+
+
+class Talk:
+    """`close()` says goodbye. Raises OSError, `filename` the listener's name, where the socket cannot be opened."""
+
+    def __init__(self, loop, settings, seed, say):
+        fleet = settings.fleet
+        names = [m.name for m in fleet.members]
+        self.loop, self.say, self.closed = loop, say, False
+        self.places = [listener(m.at)[1:] for m in fleet.members]
+        self.by_place = {place: n for n, place in enumerate(self.places)}
+        self.count = {"sent": 0, "heard": 0, "bytes": 0, "unlisted": 0, "unreadable": 0}
+        self.said_at, self.left_out, self.spoken = 0.0, 0, (0, 0)
+        self.timer, self.view_at = None, time.monotonic() + VIEW_S
+        _, host, port = listener(fleet.listen)
+        try:
+            self.udp = Udp(loop, host, port, self._data, lambda hop: None, self._arm)
+        except OSError as fault:
+            fault.filename = fleet.listen
+            raise
+        self.members = Members(names, names.index(settings.name), seed, now_us(), seed >> 32 & 0xFFFFFFFF,
+                               int(time.time()) << 16)
+        self._arm()
+
+    def _data(self, data, hop):
+        sender = self.by_place.get((hop.host, hop.port))
+        if sender is None:
+            self.count["unlisted"] += 1
+            self._complain("unlisted sender", hop)
+            return
+        try:
+            gram = wire.decode(data)
+        except wire.WireError as fault:
+            self.count["unreadable"] += 1
+            self._complain(str(fault), hop)
+            return
+        self.count["heard"] += 1
+        self._send(self.members.heard(now_us(), gram, sender))
+
+    def _complain(self, reason, hop):
+        now = time.monotonic()
+        if now - self.said_at < SAY_S:
+            self.left_out += 1
+            return
+        self.say("warning", "bad datagram", peer=f"{hop.host}:{hop.port}", reason=reason, left_out=self.left_out)
+        self.said_at, self.left_out = now, 0
+
+    def _send(self, out):
+        for member, gram in out:
+            data = wire.encode(gram)
+            host, port = self.places[member]
+            self.udp.sock_send(host, port, data)
+            self.count["sent"] += 1
+            self.count["bytes"] += len(data)
+
+    def _arm(self):
+        if self.timer is not None:
+            self.timer.cancel()
+        if not self.closed:
+            wait = max(0, self.members.next_at() - now_us()) / 1e6
+            self.timer = self.loop.call_later(wait, self._due)
+
+    def _due(self):
+        self.timer = None
+        now = now_us()
+        if self.members.next_at() <= now:
+            self._send(self.members.tick(now))
+        self._log()
+        self._arm()
+
+    def _log(self):
+        members, second = self.members, int(time.monotonic())
+        for _, member, what, why in members.changes:
+            at, said = self.spoken
+            self.spoken = (second, said + 1) if at == second else (second, 1)
+            if self.spoken[1] <= CHANGES_S:
+                self.say("info", "member", member=members.names[member], now=what, why=why)
+        members.changes.clear()
+        if time.monotonic() >= self.view_at:
+            self.view_at += VIEW_S
+            self.view()
+
+    def view(self):
+        """The log line on who is there as this proxy sees it: those alive, and the others by state."""
+        members, by = self.members, {}
+        for member, state in enumerate(members.state):
+            by.setdefault(STATES[state], []).append(members.names[member])
+        self.say("info", "members", second=int(time.time()), alive=by.pop("alive", []), others=by,
+                 slow=members.slow, counts={**self.count, **members.count})
+
+    def close(self):
+        self._send(self.members.leave(now_us()))
+        self.view()
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.udp.close()
--- a/thorndale/daemon/run.py
+++ b/thorndale/daemon/run.py
@@ -81,6 +81,15 @@
         loop.add_signal_handler(number, told.set)
     again = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, again.set)
+    try:
+        talk = _talk(settings, loop, seed, say)
+    except OSError as fault:
+        await ends.close()
+        await keeper.close()
+        if store:
+            await store.close()
+        close_log()
+        raise StartError(f"{fault.filename} cannot be opened: {fault.strerror}; is another program there?") from None
     heart = loop.create_task(_heart(border))
     reloader = loop.create_task(_reload(again, settings, path, border, say))
     try:
@@ -96,6 +105,8 @@
         await asyncio.gather(heart, reloader, return_exceptions=True)
         if store:
             await store.close()
+        if talk is not None:
+            talk.close()
         border.finish()
         left = border.left()
         await ends.close()
@@ -110,6 +121,15 @@
         close_log()
 
 
+def _talk(settings, loop, seed, say):
+    """What speaks with the other proxies, or None where the settings name none: then no datagram goes to them."""
+    if settings.fleet is None:
+        return None
+    from thorndale.daemon.fleet import Talk
+
+    return Talk(loop, settings, seed, say)
+
+
 def _records(settings, loop, say, offset):
     """(Store, hide) by the settings; (None, str) where no records are kept. Raises StartError."""
     if settings.records is None:
--- a/thorndale/net/udp.py
+++ b/thorndale/net/udp.py
@@ -76,9 +76,12 @@
         return BATCH
 
     def send(self, hop, data):
+        self.sock_send(hop.host, hop.port, data)
+
+    def sock_send(self, host, port, data):
         for _ in range(2):  # an error that belongs to an earlier datagram is reported at the next send
             try:
-                self.sock.sendto(data, (hop.host, hop.port))
+                self.sock.sendto(data, (host, port))
                 return
             except (BlockingIOError, InterruptedError):
                 break
--- a/thorndale/standins/day.py
+++ b/thorndale/standins/day.py
@@ -117,12 +117,15 @@
                 for name in self.boxes:
                     self.book.change(now_us(), name, "serving", 0)
                 self.ports = {f"proxy{n + 1}": port for n, port in enumerate(ports)}
+                self.speaks = {name: free_port(taken) for name in self.ports} if day.fleet else {}
+                self.between = self._between(taken)
                 for n, (name, port) in enumerate(self.ports.items()):
                     self.auditor.proxy(name, "127.0.0.1", port)
                     self.files[name] = f"{folder}/{name}.json5"
                     uris = [await self._way(name, box, taken) for box in self.boxes.values()]
                     with open(self.files[name], "w", encoding="utf-8") as file:
-                        json.dump(settings_of(day, n, port, uris, self.book.uri(), folder), file, indent=1)
+                        json.dump(settings_of(day, n, port, uris, self.book.uri(), folder, self._fleet(name)), file,
+                                  indent=1)
                     with open(f"{folder}/{name}.rules", "w", encoding="utf-8") as file:
                         file.write(rules_of(day))
                     self.spawn(name)
@@ -162,6 +165,23 @@
         await self.relay.open(proxy, box.name, box.transport, port, target)
         return box.uri().replace(f":{target[1]}", f":{port}")
 
+    def _between(self, taken):
+        """{(a, b): port at which a reaches b} for proxies whose link has a fault; a relay stands there."""
+        found, names = {}, list(self.speaks)
+        for n, a in enumerate(names):
+            for b in names[:n]:
+                if any(link.sides(a, b) or link.sides(b, a) for link in self.day.links):
+                    ports = found[(a, b)], found[(b, a)] = free_port(taken), free_port(taken)
+                    self.relay.between(a, b, ports, [("127.0.0.1", self.speaks[x]) for x in (a, b)])
+        return found
+
+    def _fleet(self, name):
+        """What a proxy is told of the fleet: where it listens, and where it reaches each."""
+        if not self.speaks:
+            return None
+        at = {n: f"udp:127.0.0.1:{self.between.get((name, n), port)}" for n, port in self.speaks.items()}
+        return f"udp:127.0.0.1:{self.speaks[name]}", at
+
     async def _gather(self):
         """What the parts have counted."""
         for count, per_second, lag, setups, waits, wrong, editions, _ in await self.parts.figures():
--- a/thorndale/standins/links.py
+++ b/thorndale/standins/links.py
@@ -35,6 +35,15 @@
     def joins(self, proxy, other):
         return other in self.to and (not self.proxies or proxy in self.proxies)
 
+    def sides(self, a, b):
+        """'out', 'back' or both, as it is for messages from a to b."""
+        found = set()
+        if self.joins(a, b) and self.way != "back":
+            found.add("out")
+        if self.joins(b, a) and self.way != "out":
+            found.add("back")
+        return found
+
     def lasts(self, now):
         return self.at * 1e6 <= now < (self.at + self.seconds) * 1e6
 
@@ -56,10 +65,10 @@
 
 
 class Line:
-    """One direction of the link between `proxy` and `other`."""
+    """What passes from `a` to `b`."""
 
-    def __init__(self, plans, proxy, other, way, chance):
-        self.plans = [p for p in plans if p.joins(proxy, other) and p.way in (way, "both")]
+    def __init__(self, plans, a, b, chance):
+        self.plans = [p for p in plans if p.sides(a, b)]
         self.chance, self.free_at, self.last_at = chance, 0, 0
 
     def carry(self, now, size):
--- a/thorndale/standins/relay.py
+++ b/thorndale/standins/relay.py
@@ -31,7 +31,8 @@
         return now_us() - self.began
 
     async def open(self, proxy, other, transport, port, target):
-        lines = {way: Line(self.plans, proxy, other, way, self.chance) for way in ("out", "back")}
+        lines = {"out": Line(self.plans, proxy, other, self.chance),
+                 "back": Line(self.plans, other, proxy, self.chance)}
         if transport == "udp":
             self._udp(lines, port, target)
         else:
@@ -39,6 +40,19 @@
                 lambda reader, writer: self._tcp(lines, reader, writer, target), "127.0.0.1", port)
             self.servers.append(server)
 
+    def between(self, a, b, ports, targets):
+        """Two proxies that send each other datagrams: `ports` are the relay's that stand for b at a and for a at b,
+        `targets` where a and b themselves hear. Each sees the other at one address, in both directions."""
+        near, far = (socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(2))
+        for sock, port in ((near, ports[0]), (far, ports[1])):
+            sock.bind(("127.0.0.1", port))
+            sock.setblocking(False)
+            self.sockets.append(sock)
+        self.loop.add_reader(near.fileno(), self._datagrams, near, Line(self.plans, a, b, self.chance),
+                             lambda d: far.sendto(d, targets[1]), None)
+        self.loop.add_reader(far.fileno(), self._datagrams, far, Line(self.plans, b, a, self.chance),
+                             lambda d: near.sendto(d, targets[0]), None)
+
     # ---- datagrams ----
 
     def _udp(self, lines, port, target):
--- a/thorndale/standins/script.py
+++ b/thorndale/standins/script.py
@@ -74,6 +74,7 @@
     sites: list[SitePlan] = []
     faults: list[Fault] = []
     links: list[LinkPlan] = []
+    fleet: bool = False  # the proxies tell each other who is there
     uneven: bool = False  # some proxies get several times the calls of others
 
 
@@ -87,7 +88,7 @@
     boxes = {b.name for b in day.boxes}
     proxies = {f"proxy{n + 1}" for n in range(day.proxies)}
     for n, link in enumerate(day.links):
-        for field, among in (("to", boxes), ("proxies", proxies)):
+        for field, among in (("to", boxes | proxies), ("proxies", proxies)):
             for name in getattr(link, field):
                 if name not in among:
                     faults.append(f"links[{n}].{field}: {name!r} is none of {', '.join(sorted(among))[:200]}")
@@ -143,13 +144,16 @@
         raise ConfigError(path, [f"no JSON5 day: {str(fault)[:200]}"]) from None
 
 
-def settings_of(day, number, port, boxes, book_uri, folder):
-    """The settings file of one proxy of the day, as a map."""
+def settings_of(day, number, port, boxes, book_uri, folder, fleet=None):
+    """The settings file of one proxy of the day, as a map. `fleet`: its own place and those of all, by name."""
     groups = list(dict.fromkeys(b.trunk_group for b in day.boxes))
     records = {"records": {"folder": f"{folder}/proxy{number + 1}.records", "answer": day.records,
                            "segment_bytes": 1 << 20}} if day.records else {}
+    members = [{"name": n, "at": at} for n, at in fleet[1].items()] if fleet else []
+    told = {"fleet": {"listen": fleet[0], "members": members}} if fleet else {}
     return {
         **records,
+        **told,
         "name": f"proxy{number + 1}",
         "instances": day.proxies,
         "listen": [f"udp:127.0.0.1:{port}", f"tcp:127.0.0.1:{port}"],
