--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -1,17 +1,12 @@
 """Members in virtual time: nobody held dead for long who is there, nobody thought there who is gone, whatever the links do."""
 
 import random
-import sys
-from pathlib import Path
 
 import pytest
 
-sys.path.insert(0, str(Path(__file__).parent))
-
-from fleet_net import Net, S, sound  # noqa: E402
-
-from thorndale.fleet import wire  # noqa: E402
-from thorndale.fleet.members import ALIVE, DEAD, PERIOD_US, SUSPECT, Members  # noqa: E402
+from thorndale.emulator.gossip import Net, S, sound
+from thorndale.fleet import wire
+from thorndale.fleet.members import ALIVE, DEAD, PERIOD_US, SUSPECT, Members
 
 
 def joined(n, **given):
--- a/tests/standins/test_spread.py
+++ b/tests/standins/test_spread.py
@@ -28,6 +28,7 @@
     "errors": (["box1"], [Fault(AT, "floods", ["box1"], 4.0)], []),
     "all at once": ([], [Fault(AT, "proxy killed", ALL, 0.1)], []),
     "burst and back": (["box1"], [Fault(1.0, "dies", ["box1"], 2.0), Fault(AT, "burst", [], 2.0, 1.5)], []),
+    "swap": (["box1", "box2"], [Fault(AT, "slow", ["box1"], 5.0, 2.0), Fault(AT, "slow", ["box2"], 5.0, 0.5)], []),
     "stopped": ([], [Fault(AT, "proxy stopped", SOME, 3.0)], []),
     "a server more": ([], [], []),
     "a proxy more": ([], [], []),
--- a/tests/fleet/fleet_net.py
+++ b/thorndale/emulator/gossip.py
@@ -1,4 +1,4 @@
-"""Members on links in virtual time: `Net(n, link)`, where `link(now, a, b, draw)` gives the delays in us of one message."""
+"""Members on links in virtual time: `Net(n, link)`, where `link(now, a, b, draw)` gives the delays in us of a message."""
 
 import random
 from heapq import heappop, heappush
