--- a/thorndale/emulator/gossip.py
+++ b/thorndale/emulator/gossip.py
@@ -1,4 +1,4 @@
-"""Members on links in virtual time: `Net(n, link)`, where `link(now, a, b, draw)` gives the delays in us of a message."""
+"""Members on links in virtual time: `Net(n, link)`, where `link(now, a, b, draw)` gives a message's delays in us."""
 
 import random
 from heapq import heappop, heappush
@@ -84,7 +84,8 @@
 
     def views(self, among=None):
         """{proxy: set of those that it holds there}."""
-        return {k: frozenset(m.alive()) for k, m in enumerate(self.up) if m is not None and (among is None or k in among)}
+        return {k: frozenset(m.alive()) for k, m in enumerate(self.up)
+                if m is not None and (among is None or k in among)}
 
     def agreed(self, members, among=None):
         return set(self.views(among).values()) == {frozenset(members)}
