--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 import subprocess
 import sys
 
@@ -10,9 +11,9 @@
 
 from thorndale.config.load import ConfigError, load
 from thorndale.fleet.view import differences, parts, views
-from thorndale.standins.day import Player, leaks
+from thorndale.standins.day import Player, free_port, leaks
 from thorndale.standins.links import LinkPlan
-from thorndale.standins.script import Fault, read_day
+from thorndale.standins.script import Fault, read_day, rules_of, settings_of
 
 HALVES = ["proxy1", "proxy2", "proxy3"], ["proxy4", "proxy5", "proxy6"]
 
@@ -78,6 +79,21 @@
     assert "301 are more than instances" in faults({"listen": listen, "members": many})
 
 
+def test_a_port_that_is_taken_ends_the_start_with_one_line(tmp_path):
+    day = read_day({"seconds": 1.0, "rate": 1.0, "boxes": [{"name": "box1", "trunk_group": "g"}], "types": [
+        {"name": "t", "prefix": "+2", "part": 1.0, "setup_target_ms": 9, "guard_ms": 9, "patience_s": 1, "hold_ms": 9}]}, "t")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind(("127.0.0.1", 0))
+        at = f"udp:127.0.0.1:{taken.getsockname()[1]}"
+        settings = settings_of(day, 0, free_port(set()), ["sip:127.0.0.1:9"], "sip:127.0.0.1:10", str(tmp_path),
+                               (at, {"proxy1": at, "proxy2": "udp:127.0.0.1:11"}))
+        (tmp_path / "proxy1.rules").write_text(rules_of(day))
+        (tmp_path / "proxy1.json5").write_text(json.dumps(settings))
+        ended = subprocess.run([sys.executable, "-m", "thorndale", "run", str(tmp_path / "proxy1.json5")],
+                               capture_output=True, text=True, timeout=20)
+    assert ended.returncode == 1 and f"{at} cannot be opened" in ended.stderr and ended.stderr.count("\n") == 1
+
+
 def test_the_platforms_front_and_a_proxy_without_a_list_hold_nothing_of_it():
     code = ("import sys, {}; assert not [m for m in sys.modules if m.startswith('thorndale.fleet') "
             "or m == 'thorndale.daemon.fleet'], sys.modules")
--- a/thorndale/daemon/run.py
+++ b/thorndale/daemon/run.py
@@ -69,6 +69,7 @@
         context.get("exception") or context.get("message")), where=repr(context.get("handle", ""))))
     try:
         ends.open(listeners)
+        talk = _talk(settings, loop, seed, say)
     except OSError as fault:
         await ends.close()
         await keeper.close()
@@ -81,15 +82,6 @@
         loop.add_signal_handler(number, told.set)
     again = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, again.set)
-    try:
-        talk = _talk(settings, loop, seed, say)
-    except OSError as fault:
-        await ends.close()
-        await keeper.close()
-        if store:
-            await store.close()
-        close_log()
-        raise StartError(f"{fault.filename} cannot be opened: {fault.strerror}; is another program there?") from None
     heart = loop.create_task(_heart(border))
     reloader = loop.create_task(_reload(again, settings, path, border, say))
     try:
