Calls that a pressed server turns away leave its pool in the part that is pressed

Cause: all proxies hear of a wait at the same second, all cut the server's part to none, and what it turns away goes to the pool's other servers, in the end all to the one last told idle. Ruled out: the cold server itself (0 to 3 set-ups a second), the sizes (alike). The change: once a server has no room for a call, the call leaves that pool with the pressed part of it, for the other pools in their drawn turn. Pools of one server draw nothing.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -483,3 +483,21 @@
     most = 40 * (0.28 + 0.72 * 4 / 14) * 4  # what may be sent while it warms
     assert 0.1 * most < sent[1] < most, (sent, most)
     assert all(abs(bench.proxy.turn[1]) <= 0.5 for bench in fleet)  # nothing is owed to it for that time
+
+
+def test_where_most_of_a_pool_is_pressed_calls_leave_it_and_do_not_run_to_the_one_told_idle():
+    def sent(pressed):
+        """Where a hundred proxies' calls for pool 0 go, each told at once that these of its five servers are full."""
+        went = []
+        for n in range(100):
+            bench = Bench(0, seed=n + 1)
+            bench.tell(*[io.Server(s, s // 5, io.SERVING, 0) for s in range(10)], whole=True)
+            for s in pressed:
+                told(bench, s, 900 * MS)
+            went += [a.server for a in bench.call(0) if type(a) is io.Seize]
+        return went
+
+    calm, full = sent([]), sent([0, 1, 2, 3])
+    assert all(8 <= calm.count(s) <= 34 for s in range(5)) and len(calm) == 100
+    assert full.count(4) < 50 and sum(full.count(s) for s in range(5, 10)) > 40, full  # 100 went to server 4
+    assert len(full) == 100
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -467,8 +467,9 @@
         servers = self.by_pool.get(pool, ())
         if len(servers) < 2:
             return servers
-        # A cold one is asked for each call and has no turns: its pace lets few go, and so rarely met it idles.
-        return sorted(servers, key=lambda s: (not self._cold(s), len(self.out[s]) / self._fair(s) - self.turn[s]))
+        # A cold one is asked for each call and has no turns: its pace lets few go, so rarely met it idles.
+        owed = {s: self.turn[s] - len(self.out[s]) / self._fair(s) for s in servers}
+        return sorted(servers, key=lambda s: (not self._cold(s), -owed[s]))
 
     def _pass_turn(self, s, fit):
         """Server s has had its turn, whether the guards let the call go there or not: what is not taken is
@@ -493,14 +494,28 @@
         lined = [s for s in open_ if s != avoid and self.empty_until[s] <= self.now and self.free[s] != 0]
         fit = [s for s in lined if self.skip_until[s] <= self.now]
         fit.sort(key=self._faulty)
+        left = -1  # pool that this call has left
         for s in fit + [s for s in lined if s not in fit] or open_:
+            if self.pool[s] == left:
+                continue
             admitted = self._admits(s, held)
             if s in fit:
                 self._pass_turn(s, fit)
             if admitted:
                 return s
+            if self._leaves(s):
+                left = self.pool[s]
         return -1
 
+    def _leaves(self, s):
+        """Whether a call that server s has no room for leaves its pool, drawn by the part of the pool that is
+        pressed. Guards against a herd inside it: all proxies hear of a wait at one time, and would all go to
+        the server last told idle, then to the next. Harms a call that another one there had room for."""
+        pool = self.by_pool.get(self.pool[s], ())
+        if len(pool) < 2 or self._cold(s):
+            return False
+        return self._chance() >= sum(self._open(o) for o in pool) / len(pool)
+
     def _faulty(self, s):
         """Whether server s comes after the others for this call: drawn by its share of faults over what
         callers may cause. Guards against errors that come fast and draw all traffic; harms nothing where the
