--- a/thorndale/fleet/members.py
+++ b/thorndale/fleet/members.py
@@ -22,7 +22,9 @@
 from thorndale.fleet.wire import ACK, ALIVE, ASK, DEAD, LEFT, NEWS_MOST, PROBE, SUSPECT, VERSION, Gram, News, member_id
 
 PERIOD_US = 1_000_000  # us between two probes of a member: SWIM's; one message a second each way
-DIRECT_US = 300_000  # us for a direct answer before others are asked: some round trips and a busy core
+DIRECT_US = 300_000  # us for an answer before it is asked again and others are asked: a busy core
+TRIES = 2  # periods in which a member gives no answer before it is suspected: a lossy link makes a suspect of few
+ASKED = 3  # times that it is asked in each
 HELPERS = 3  # members that are asked to ask: SWIM's k
 SUSPECT_PERIODS = 6.0  # periods times the logarithm of the fleet that a suspicion lasts: time to hear and to answer
 TOLD_TIMES = 3.0  # times the logarithm of the fleet that a piece of news is passed on: SWIM's lambda
@@ -49,6 +51,7 @@
         self.turn, self.turn_again = [], []  # whom to probe next
         self.number, self.slow, self.periods = 0, 0, 0
         self.probe = None  # (member, number, direct until, period's end)
+        self.tries, self.asked = 0, 0  # periods without an answer of the member probed; times it was asked in this one
         self.helping = {}  # number of a probe made for another: (who asked, its number, until)
         self.changes, self.count = [], {"late": 0, "refuted": 0, "twice": 0, "stale": 0, "absurd": 0, "unlisted": 0}
         self.began, self.base = now, incarnation
@@ -194,35 +197,46 @@
                 self._set(member, DEAD, "suspected without a word")
                 self._tell(member)
         if self.probe is not None and 0 < self.probe[2] <= now:
-            member, number = self.probe[0], self.probe[1]
-            self.probe = (member, number, 0, self.probe[3])
-            helpers = [m for m in self.alive() if m not in (member, self.own)]
-            for _ in range(min(HELPERS, len(helpers))):
-                helper = helpers.pop(int(self._chance() * len(helpers)))
-                out.append((helper, self._gram(ASK, number, member, helper)))
+            out += self._ask_again()
         if now >= self.period_at:
             out += self._period()
         return out
 
+    def _ask_again(self):
+        """No answer yet: asked once more, and the first time through others too."""
+        member, number, until, end = self.probe
+        self.asked += 1
+        self.probe = (member, number, until + DIRECT_US if self.asked < ASKED else 0, end)
+        out = [(member, self._gram(PROBE, number, member, member))]
+        helpers = [m for m in self.alive() if m not in (member, self.own)]
+        for _ in range(min(HELPERS, len(helpers)) if self.asked == 2 else 0):
+            helper = helpers.pop(int(self._chance() * len(helpers)))
+            out.append((helper, self._gram(ASK, number, member, helper)))
+        return out
+
     def _period(self):
         """The end of one period: the probe that has no answer, and the next."""
         if self.probe is not None and self.probe[2] >= 0:
             member = self.probe[0]
             if self.heard_at < self.asked_at:  # nobody was heard since: it may be this member's own fault
                 self.slow = min(SLOW_MOST, self.slow + 1)
-            if self.state[member] == ALIVE:
+            self.tries += 1
+            if self.state[member] == ALIVE and self.tries >= TRIES:
                 self._suspect(member, self.own, "no answer")
+        again = self.probe[0] if self.probe is not None and self.probe[2] >= 0 and self.tries < TRIES else -1
         self.probe = None
         self.helping = {n: h for n, h in self.helping.items() if h[2] > self.now}
         stretch = 1 + self.slow / 2
         self.period_at = self.now + int(PERIOD_US * stretch * (0.9 + 0.2 * self._chance()))
         self.periods += 1
         out = []
-        member = self._next("turn", (ALIVE, SUSPECT))
+        member = again
+        if again < 0 or self.state[again] != ALIVE:
+            member, self.tries = self._next("turn", (ALIVE, SUSPECT)), 0
         if member >= 0:
             self.number += 1
             self.probe = (member, self.number, self.now + int(DIRECT_US * stretch), self.period_at)
-            self.asked_at = self.now
+            self.asked_at, self.asked = self.now, 1
             out.append((member, self._gram(PROBE, self.number, member, member)))
         joining = self.periods <= JOIN_PERIODS
         for _ in range(JOIN_PROBES if joining else self.periods % AGAIN_PERIODS == 0):
