--- a/thorndale/daemon/run.py
+++ b/thorndale/daemon/run.py
@@ -69,6 +69,7 @@
         context.get("exception") or context.get("message")), where=repr(context.get("handle", ""))))
     try:
         ends.open(listeners)
+        talk = _talk(settings, loop, seed, say)
     except OSError as fault:
         await ends.close()
         await keeper.close()
@@ -96,6 +97,8 @@
         await asyncio.gather(heart, reloader, return_exceptions=True)
         if store:
             await store.close()
+        if talk is not None:
+            talk.close()
         border.finish()
         left = border.left()
         await ends.close()
@@ -110,6 +113,15 @@
         close_log()
 
 
+def _talk(settings, loop, seed, say):
+    """What speaks with the other proxies, or None where the settings name none: then no datagram goes to them."""
+    if settings.fleet is None:
+        return None
+    from thorndale.daemon.fleet import Talk
+
+    return Talk(loop, settings, seed, say)
+
+
 def _records(settings, loop, say, offset):
     """(Store, hide) by the settings; (None, str) where no records are kept. Raises StartError."""
     if settings.records is None:
