--- a/bench/even.py
+++ b/bench/even.py
@@ -130,7 +130,7 @@
     elif kind == "swap":
         for box, factor in zip(day.boxes, (1.0, 1.0, 0.5, 0.5, 1.0, 1.0) * 4, strict=False):
             box.setup_ms *= factor
-        day.faults = [Fault(at, "slow", [b.name for b in day.boxes[2::6]] + [b.name for b in day.boxes[3::6]], 1000.0, 2.0)]
+        day.faults = [Fault(at, "slow", [b.name for b in day.boxes[2::6]] + [b.name for b in day.boxes[3::6]], day.seconds - at - 1, 2.0)]
         return []
     elif kind == "slow":
         day.faults = [Fault(at, "slow", [one], 15.0, 3.0)]
@@ -139,7 +139,7 @@
     return [one]
 
 
-KINDS = ("reports lost to proxy", "reports stuck at proxy", "reports late", "cut out", "cut back", "lossy link", "book late",
+KINDS = ("swap", "reports lost to proxy", "reports stuck at proxy", "reports late", "cut out", "cut back", "lossy link", "book late",
          "errors", "all restarted", "burst and back", "stopped", "slow", "hangs")
 
 
