--- a/tests/standins/test_spread.py
+++ b/tests/standins/test_spread.py
@@ -19,7 +19,8 @@
 SOME, ALL = ["proxy1", "proxy2"], [f"proxy{n}" for n in range(1, 7)]
 BOXES = [f"box{n}" for n in range(1, 7)]
 CASES = {  # boxes that the fault touches, faults, links
-    "reports": ([], [Fault(AT, "reports lost to proxy", ["proxy1"], 4.0), Fault(AT, "reports stuck at proxy", ["proxy2"], 4.0)], []),
+    "reports": ([], [Fault(AT, "reports lost to proxy", ["proxy1"], 4.0), Fault(AT, "reports stuck at proxy", ["proxy2"], 4.0),
+                     Fault(AT, "reports late", ["box1", "box4"], 4.0, 2.0)], []),
     "cut one way": (["box1", "box4"], [], [
         LinkPlan(at=AT, to=["box1"], seconds=3.0, proxies=SOME, way="out", cut=True),
         LinkPlan(at=AT, to=["box4"], seconds=3.0, proxies=SOME, way="back", cut=True),
--- a/thorndale/standins/day.py
+++ b/thorndale/standins/day.py
@@ -238,7 +238,7 @@
             self.book.told_late = {self.ports[name]: int(fault.size * 1e6) for name in fault.who}
             await asyncio.sleep(span)
             self.book.told_late = {}
-        elif kind.startswith("reports "):
+        elif kind in ("reports lost to proxy", "reports stuck at proxy"):
             for box in self.boxes.values():
                 box.set("told_to", {self.ports[name]: kind.split()[1] for name in fault.who})
             await asyncio.sleep(span)
