What served nothing in the relay, the ways and the bench is gone

Found: a list in the relay that nobody fills, a figure in the subset's order that is set and set again, and an import in bench/even.py kept alive by an assertion that cannot fail. Cause: each was left by an earlier form of the code.

--- a/bench/even.py
+++ b/bench/even.py
@@ -16,7 +16,6 @@
 import uvloop
 
 from thorndale.spread import measure
-from thorndale.standins.audit import RULES
 from thorndale.standins.day import Player, leaks
 from thorndale.standins.links import LinkPlan
 from thorndale.standins.script import Fault, read_file
@@ -212,5 +211,4 @@
 
 
 if __name__ == "__main__":
-    assert RULES
     main()
--- a/thorndale/emulator/ways.py
+++ b/thorndale/emulator/ways.py
@@ -81,7 +81,7 @@
     number = 0
 
     def _in_turn(self, pool):
-        servers, rounds = self.by_pool.get(pool, ()), 0
+        servers = self.by_pool.get(pool, ())
         if len(servers) <= SUBSET:
             return super()._in_turn(pool)
         places = len(servers) // SUBSET
--- a/thorndale/standins/relay.py
+++ b/thorndale/standins/relay.py
@@ -22,7 +22,7 @@
     def __init__(self, loop, plans, chance):
         self.loop, self.plans, self.chance = loop, plans, chance
         self.began, self.passed = now_us(), {"delivered": 0, "lost": 0, "doubled": 0, "held": 0, "reset": 0}
-        self.sockets, self.tasks, self.servers, self.reset_watch = [], set(), [], []
+        self.sockets, self.tasks, self.servers = [], set(), []
 
     def begin(self, at_us):
         self.began = at_us
