Releases are owed until heard; set-ups not written and ended connections hold nothing

So any peer that can send a set-up could swallow releases of others.

Changed: a release has one owner (Border.owed) until its caller answers it. First by a connection that has answered others, then its own, then the latest; not taken, lost with its connection or (where callers answer releases at all) unheard for 250 ms, it goes on to the next, within the 1 s.

--- a/tests/platform/platform_rig.py
+++ b/tests/platform/platform_rig.py
@@ -53,6 +53,7 @@
     def __init__(self, **other):
         self.now, self.keys, self.calls, self.silent = 1_000 * S, 0, 0, set()  # silent: keys that answer no test
         self.got, self.sent, self.dialled, self.ended, self.closed, self.said = {}, {}, [], set(), set(), []
+        self.ending = set()  # connections, of either side, that take nothing more and whose end is not told yet
         config = read(json.dumps(configuration(**other)))
         self.told = []
         module = Proxy(config.seed, config.settings)
@@ -66,8 +67,11 @@
 
     # what the core wants done
     def to_caller(self, conn, data):
+        if conn in self.ending or conn in self.closed:
+            return False
         for kind, call, values in isup.Framer().feed(data):
             self.got.setdefault(conn, []).append((kind, call, isup.parameters(values)))
+        return True
 
     def end_caller(self, conn):
         self.closed.add(conn)
@@ -79,12 +83,15 @@
 
     def to_server(self, key, data):
         assert key not in self.ended, "sent on a connection that was ended"
+        if key in self.ending:
+            return False
         requests = _requests(data)
         self.sent.setdefault(key, []).extend(requests)
         for m in requests:
             if m.method == "OPTIONS" and key not in self.silent:
                 self.signal(key, f"SIP/2.0 200 OK\r\nCall-ID: {m.call}\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n"
                             .encode(), False)
+        return True
 
     def end_server(self, key):
         self.ended.add(key)
@@ -108,6 +115,9 @@
             self.do("caller_message", conn, message)
         return call
 
+    def heard(self, call, conn="c"):
+        self.do("caller_message", conn, (isup.HEARD, call, b""))
+
     def release(self, call, conn="c", cause=16):
         for message in isup.Framer().feed(isup.release(call, cause)):
             self.do("caller_message", conn, message)
--- a/tests/platform/test_platform_rules.py
+++ b/tests/platform/test_platform_rules.py
@@ -10,6 +10,7 @@
 from thorndale.platform import isup
 
 RELEASE_US = 250 * MS
+CROSS_US = 50 * MS
 
 
 class Model:
@@ -17,13 +18,14 @@
 
     def __init__(self, rig):
         self.rig, self.due, self.out, self.not_before, self.barred = rig, {}, {}, {}, {}
-        self.answers, self.left, self.seen = {}, set(), {}
+        self.answers, self.left, self.seen, self.told_by, self.crossed = {}, set(), {}, {}, set()
 
     def look(self):
         rig, now = self.rig, self.rig.now
         for conn, messages in rig.got.items():
             for kind, call, _ in messages[self.seen.get(conn, 0):]:
                 self.answers.setdefault(call, []).append(kind)
+                self.told_by[call] = conn, now
                 kinds = self.answers[call]
                 assert kinds in ([isup.ANSWER], [isup.RELEASE], [isup.ANSWER, isup.RELEASE]), (call, kinds)
                 assert call not in self.left or len(kinds) > 1 or kinds == [isup.RELEASE]
@@ -46,6 +48,14 @@
         for call, due in self.due.items():
             assert call in self.answers or call in self.left or now <= due + 50 * MS, "no answer in time"
 
+    def caller_lost(self, conn):
+        """A close that crosses a release: the caller has not read it, and it has to come by another connection."""
+        self.left |= set(self.rig.core.conns[conn].open)
+        for call, (by, at) in self.told_by.items():
+            if by == conn and self.rig.now < at + CROSS_US and self.answers[call] == [isup.ANSWER, isup.RELEASE]:
+                self.answers[call].pop()
+                self.crossed.add(call)
+
     def ended(self, call, wait):
         if self.out.pop(call, None) is not None and wait:
             self.not_before[call] = self.rig.now + RELEASE_US
@@ -96,7 +106,7 @@
             rig.caller(conn)
         elif what < 0.77 and len(conns) > 1:
             conn = conns.pop(0)
-            model.left |= set(rig.core.conns[conn].open)
+            model.caller_lost(conn)
             rig.do("caller_lost", conn)
         rig.up()
         model.look()
@@ -113,6 +123,9 @@
         if link is not None:
             rig.bye(link.key, call)
     rig.later(10 * S)
+    model.look()
+    for call in model.crossed:
+        assert model.answers[call] == [isup.ANSWER, isup.RELEASE], "a release lost with its connection"
     assert set(rig.ends().values()) <= {1} and len(rig.core.door) == len(rig.core.calls)
     assert all(type(e) is not io.Ended or e.lag_us >= 0 for e in rig.told)
 
--- a/thorndale/net/tcp.py
+++ b/thorndale/net/tcp.py
@@ -1,6 +1,8 @@
 """Stream connections: `sock_recv_into` and `sock_sendall` on asyncio's loop, framed by what they are given.
 
-Each connection has one task that reads and one that writes; `Tcp` owns them and waits for them at its end.
+Each connection has one task that reads and one that writes; `Tcp` owns them and waits for them at its end. What is
+sent goes to the kernel at once where it takes it, and `send` says whether the connection takes it at all: what it does
+not take is still its sender's. The end of a connection is told once, when it is seen; nothing is taken after it.
 """
 
 import asyncio
@@ -17,6 +19,9 @@
 READ = 65_536  # bytes read at one go
 BACKLOG = 512  # connections that wait to be accepted
 HIGH_PART = 0.5  # of the unsent bytes allowed from which on no more is read from that peer: it must read first
+READS = 8  # reads of one connection before what came is acted on: what lies behind a message may take it back
+LINGER_S = 0.5  # s for which a finished connection is read and thrown away: closed with bytes unread, it would be
+# reset by the kernel, and what is on its way to the peer with it
 
 
 class Stream(NamedTuple):
@@ -69,100 +74,146 @@
         self.queue, self.unsent, self.wake, self.drained = deque(), 0, asyncio.Event(), asyncio.Event()
         self.drained.set()
         self.framer, self.closed, self.partial_at = owner.stream.framer(), False, 0.0
-        self.established, self.ending, self.opened_at, self.spoke = not opening, False, owner.loop.time(), False
-        self.kind = "lost"
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.established, self.opened_at, self.spoke = not opening, owner.loop.time(), False
+        self.ending_at, self.told, self.kind = None, False, "lost"
 
     def send(self, data):
-        if self.closed:
-            return
+        """Whether the connection has taken the data: the kernel has it, or it waits here for the peer to read."""
+        if self.closed or self.ending_at is not None:
+            return False
+        if self.established and not self.queue:
+            try:
+                data = data[self.sock.send(data):]
+            except (BlockingIOError, InterruptedError):
+                pass
+            except OSError:
+                self._fails()
+                return False
+            if not data:
+                return True
         limits = self.owner.limits
         self.unsent += len(data)
         if self.unsent > limits.unsent_bytes:  # the peer does not read: kept for, it would take all memory
             self.owner.count["cut, not reading"] += 1
             self.owner.drop(self)
-            return
+            return False
         if self.unsent > limits.unsent_bytes * HIGH_PART:
             self.drained.clear()
         self.queue.append(data)
         self.wake.set()
+        return True
+
+    def unread(self):
+        """Whether bytes or the peer's end lie in the socket that no reader has seen."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            pass
+        return True
 
     async def write(self):
+        """Sends what waits, in order; of a finished connection its own end behind it."""
         loop = self.owner.loop
-        while True:
-            await self.wake.wait()
-            self.wake.clear()
-            while self.queue:
-                data = b"".join(self.queue) if len(self.queue) > 1 else self.queue[0]
-                self.queue.clear()
-                await loop.sock_sendall(self.sock, data)
-                self.unsent -= len(data)
-                self.drained.set()
-            if self.ending:
-                return
+        try:
+            while True:
+                await self.wake.wait()
+                self.wake.clear()
+                while self.queue:  # an entry stays until it is out: `send` goes round an empty queue alone
+                    await loop.sock_sendall(self.sock, self.queue[0])
+                    self.unsent -= len(self.queue.popleft())
+                    self.drained.set()
+                if self.ending_at is not None:
+                    self.sock.shutdown(socket.SHUT_WR)
+                    return
+        except OSError:
+            self._fails()
+
+    def _fails(self):
+        """The peer takes nothing more. The reader finds the end, after what the peer had sent before it."""
+        self.closed = True
+        self.drained.set()
 
     async def read(self):
+        """Reads to the end of the stream and tells of it in the same turn, so that it is known with what came."""
+        stream = self.owner.stream
+        try:
+            await self._read()
+        except stream.faults as fault:
+            self.kind = stream.spoilt
+            self.owner.count["cut, unreadable"] += 1
+            self.owner.fault = f"{self.hop.host}: {fault}"
+        except OSError:
+            pass
+        self.owner.tell(self)
+
+    async def _read(self):
         loop, owner = self.owner.loop, self.owner
         buffer = bytearray(owner.stream.read)
         view = memoryview(buffer)
         while True:
             await self.drained.wait()
-            size = await loop.sock_recv_into(self.sock, buffer)
-            if not size:
-                return
-            came = False
-            for data in self.framer.feed(view[:size]):
-                if self.ending or self.closed:
+            size, came = await loop.sock_recv_into(self.sock, buffer), False
+            for _ in range(READS):
+                if not size:
                     return
-                came = self.spoke = True
-                if data is KEEPALIVE:
-                    self.send(b"\r\n")
-                else:
-                    owner.on_data(data, self.hop)
+                came = self._take(view[:size]) or came
+                try:
+                    size = self.sock.recv_into(buffer)
+                except (BlockingIOError, InterruptedError):
+                    break
             owner.on_batch()
             if not self.framer.partial:
                 self.partial_at = 0.0
             elif came or not self.partial_at:
                 self.partial_at = loop.time()
 
+    def _take(self, data):
+        """Hands on the whole messages that the data ends; whether there was one. A connection that is ending is
+        read and what comes thrown away."""
+        came = False
+        if self.ending_at is None:
+            for message in self.framer.feed(data):
+                came = self.spoke = True
+                if message is KEEPALIVE:
+                    self.send(b"\r\n")
+                else:
+                    self.owner.on_data(message, self.hop)
+                if self.ending_at is not None:
+                    break
+        return came
+
     async def run(self):
-        """The connection's life. `kind` is that of its end, which is told once by whoever owns the task: a task
-        cancelled before its first step runs none of this."""
+        """The connection's life. `kind` is that of its end, which is told once: by its reader, or by whoever owns
+        the task, as one cancelled before its first step runs none of this."""
         loop, owner = self.owner.loop, self.owner
-        try:
-            if self.opening:
-                self.kind = owner.stream.unreached
-                address = (self.hop.host, self.hop.port)
-                await connect(loop, self.sock, address, owner.limits.connect_ms / 1000)
-                self.kind, self.established = "lost", True
-                if owner.on_open is not None:
-                    owner.on_open(self.hop)
-            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            writer = loop.create_task(self.write())
-            reader = loop.create_task(self.read())
+        if self.opening:
+            self.kind = owner.stream.unreached
             try:
-                await asyncio.wait((reader, writer), return_when=asyncio.FIRST_COMPLETED)
-            finally:
-                for task in (reader, writer):
-                    task.cancel()
-                await asyncio.wait((reader, writer))
-                self._judge(reader, writer)
-        except ConnectionRefusedError:
-            self.kind = "lost" if self.established else "refused"
-        except OSError:
-            pass
-
-    def _judge(self, *tasks):
-        """Passes a fault of the program on; one of the stream makes the connection's end a spoilt one. The tasks are
-        asked and not awaited in `run`: an error raised there would hold `run`'s frame, which holds the task, which
-        holds the error, and with them the buffers of each connection that was reset."""
-        for task in tasks:
-            fault = None if task.cancelled() else task.exception()
-            if isinstance(fault, self.owner.stream.faults):
-                self.kind = self.owner.stream.spoilt
-                self.owner.count["cut, unreadable"] += 1
-                self.owner.fault = f"{self.hop.host}: {fault}"
-            elif fault is not None and not isinstance(fault, OSError):
-                raise fault
+                await connect(loop, self.sock, (self.hop.host, self.hop.port), owner.limits.connect_ms / 1000)
+            except ConnectionRefusedError:
+                self.kind = "refused"
+                return
+            except OSError:
+                return
+            self.kind, self.established = "lost", True
+            await asyncio.sleep(0)  # what came by others in the same turn of the loop is read first
+            if owner.on_open is not None:
+                owner.on_open(self.hop)
+        writer, reader = loop.create_task(self.write()), loop.create_task(self.read())
+        try:
+            await asyncio.wait((reader, writer), return_when=asyncio.FIRST_COMPLETED)
+            if not reader.done() and not writer.exception():
+                await asyncio.wait((reader,))
+        finally:
+            for task in (reader, writer):
+                task.cancel()
+            await asyncio.wait((reader, writer))
+        for task in (reader, writer):
+            if not task.cancelled() and task.exception() is not None:
+                raise task.exception()  # of the program's
 
 
 class Tcp:
@@ -203,21 +254,29 @@
             except OSError:
                 await asyncio.sleep(0.05)  # out of descriptors: those in use go on
                 continue
-            if len(self.by_hop) >= self.limits.connections:
-                given_up = self.by_hop.get(self.on_full()) if self.on_full is not None else None
-                if given_up is None:
-                    self.count["over the bound"] += 1
-                    sock.close()
-                    continue
-                self.count["given up for room"] += 1
-                self.drop(given_up)
-            self.count["accepted"] += 1
-            sock.setblocking(False)
-            self.serial += 1
-            hop = Hop("tcp", address[0], address[1], self.serial)
-            self._run(Connection(self, hop, sock, False))
-            if self.on_open is not None:
-                self.on_open(hop)
+            self._admit(sock, address)
+
+    def _admit(self, sock, address):
+        if len(self.tasks) >= self.limits.connections and not self._make_room():
+            self.count["over the bound"] += 1
+            sock.close()
+            return
+        self.count["accepted"] += 1
+        sock.setblocking(False)
+        self.serial += 1
+        hop = Hop("tcp", address[0], address[1], self.serial)
+        self._run(Connection(self, hop, sock, False))
+        if self.on_open is not None:
+            self.on_open(hop)
+
+    def _make_room(self):
+        """Gives a connection up for one more: one that is ending already, else the one that `on_full` names."""
+        ending = (c for c in self.tasks if c.ending_at is not None and not c.closed)
+        given_up = next(ending, None) or (self.by_hop.get(self.on_full()) if self.on_full is not None else None)
+        if given_up is not None:
+            self.count["given up for room"] += 1
+            self.drop(given_up)
+        return given_up is not None
 
     def _run(self, connection):
         self.by_hop[connection.hop] = connection
@@ -225,14 +284,15 @@
         task.add_done_callback(lambda task: self._ended(connection, task))
 
     def send(self, hop, data):
-        """By the connection of this hop; one that was opened from here is opened again where it is gone."""
+        """By the connection of this hop; one that was opened from here is opened again where it is gone. Whether it
+        was taken."""
         connection = self.by_hop.get(hop)
         if connection is None:
-            if hop.conn or self.closing or len(self.by_hop) >= self.limits.connections:
+            if hop.conn or self.closing or len(self.tasks) >= self.limits.connections:
                 self.loop.call_soon(self._never, hop)
-                return
+                return False
             connection = self._dial(hop)
-        connection.send(data)
+        return connection.send(data)
 
     def _dial(self, hop):
         family = socket.AF_INET6 if ":" in hop.host else socket.AF_INET
@@ -247,7 +307,7 @@
         `on_lost` follows."""
         self.serial += 1
         hop = Hop("tcp", host, port, self.serial)
-        if self.closing or len(self.by_hop) >= self.limits.connections:
+        if self.closing or len(self.tasks) >= self.limits.connections:
             self.loop.call_soon(self._never, hop)
             return hop
         try:
@@ -257,41 +317,81 @@
         return hop
 
     def finish(self, hop):
-        """Ends a connection once what was sent is out."""
-        connection = self.by_hop.get(hop)
+        """Ends a connection once what was sent is out; nothing more is taken from it, and its end is not told."""
+        connection = self.by_hop.pop(hop, None)
         if connection is not None:
-            connection.ending = True
+            connection.ending_at, connection.told = self.loop.time(), True
             connection.wake.set()
 
+    def is_quiet(self, hop):
+        """Whether nothing lies on a connection that was sent and not read, or taken and not sent on."""
+        connection = self.by_hop.get(hop)
+        return connection is not None and not connection.queue and not connection.unread()
+
+    def is_at_rest(self):
+        """Whether all is quiet and nobody waits to be accepted."""
+        for listener in self.listeners:
+            try:
+                came = listener.accept()
+            except OSError:
+                continue
+            self._admit(*came)
+            return False
+        return all(self.is_quiet(hop) for hop in self.by_hop)
+
+    async def finish_all(self):
+        """Accepts nobody more and ends every connection as `finish` does, within its time."""
+        self._deafen()
+        for hop in list(self.by_hop):
+            self.finish(hop)
+        if self.tasks:
+            await asyncio.wait(self.tasks.values(), timeout=LINGER_S)
+
+    def _deafen(self):
+        for task in self.acceptors:
+            task.cancel()
+        for sock in self.listeners:
+            sock.close()
+
     def _never(self, hop):
         self.on_lost(hop, self.stream.unreached)
         self.on_batch()
 
     def drop(self, connection):
-        """Ends a connection; whoever used it is told."""
-        connection.closed = True
+        """Ends a connection from outside a read; whoever used it is told in the next turn of the loop."""
+        connection.closed, connection.ending_at = True, self.loop.time()
+        self.loop.call_soon(self.tell, connection)
         task = self.tasks.get(connection)
         if task is not None:
             task.cancel()
 
-    def _ended(self, connection, task):
+    def tell(self, connection):
+        """The end of a connection, once."""
         connection.closed = True
-        connection.sock.close()
-        self.tasks.pop(connection, None)
         if self.by_hop.get(connection.hop) is connection:
             del self.by_hop[connection.hop]
+        if not connection.told and not self.closing:
+            connection.told = True
+            self.on_lost(connection.hop, connection.kind)
+            self.on_batch()
+
+    def _ended(self, connection, task):
+        connection.sock.close()
+        self.tasks.pop(connection, None)
         fault = None if task.cancelled() else task.exception()
         if fault is not None:  # of the program's: this connection alone ends by it
             self.loop.call_exception_handler({"message": "fault on a connection", "exception": fault})
-        if not self.closing:
-            self.on_lost(connection.hop, connection.kind)
-            self.on_batch()
+        self.tell(connection)
 
     def sweep(self, silent_ms=0):
-        """Ends connections on which part of a message has waited too long for the rest (half-open peers) and, with
-        `silent_ms`, accepted ones on which no message has come for so long."""
+        """Ends connections on which part of a message has waited too long for the rest (half-open peers), those that
+        were finished and whose peers do not close and, with `silent_ms`, accepted ones on which no message has come
+        for so long."""
         now = self.loop.time()
         before, silent = now - self.limits.partial_ms / 1000, now - silent_ms / 1000
+        for connection in list(self.tasks):
+            if connection.ending_at is not None and connection.ending_at < now - LINGER_S:
+                self.drop(connection)
         for connection in list(self.by_hop.values()):
             if connection.partial_at and connection.partial_at < before:
                 self.count["cut, partial"] += 1
@@ -303,8 +403,7 @@
     async def close(self):
         self.closing = True
         tasks = [*self.acceptors, *self.tasks.values()]
+        self._deafen()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for sock in self.listeners:
-            sock.close()
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -78,8 +78,7 @@
     # ---- what the core wants done ----
 
     def to_caller(self, conn, data):
-        if conn in self.callers.by_hop:
-            self.callers.send(conn, data)
+        return conn in self.callers.by_hop and self.callers.send(conn, data)
 
     def end_caller(self, conn):
         self.callers.finish(conn)
@@ -88,8 +87,7 @@
         return self.servers.connect(host, port)
 
     def to_server(self, key, data):
-        if key in self.servers.by_hop:
-            self.servers.send(key, data)
+        return key in self.servers.by_hop and self.servers.send(key, data)
 
     def end_server(self, key):
         connection = self.servers.by_hop.get(key)
@@ -112,12 +110,16 @@
 
     def _for_room(self):
         """The connection to give up for one more: one that never said anything of use, else the longest idle."""
+        return next(self._leave(0), None)
+
+    def _leave(self, quiet_us):
+        """Connections from callers that may be closed: nothing is open on them, and nothing lies in them. The core
+        is told before they are given out."""
         now = now_us()
-        idle = self.core.idle(now, 0)
-        if not idle:
-            return None
-        self.core.caller_lost(now, idle[0])
-        return idle[0]
+        for hop in self.core.idle(now, quiet_us):
+            if self.callers.is_quiet(hop):
+                self.core.caller_lost(now, hop)
+                yield hop
 
     def _opened(self, hop):
         self.core.server_opened(now_us(), hop)
@@ -156,7 +158,7 @@
     def _sweep(self):
         self.callers.sweep(SILENT_MS)
         self.servers.sweep()
-        for hop in self.core.idle(now_us(), IDLE_US):
+        for hop in self._leave(IDLE_US):
             self.callers.finish(hop)
         self.handles["sweep"] = self.loop.call_later(SWEEP_S, self._sweep)
 
@@ -191,9 +193,9 @@
         self.say("info", "stopping", open=self.core.being_set_up(), standing=self.core.standing())
         self.core.stop()
         await asyncio.sleep(STOP_S)
-        while self.core.being_set_up() or self.core.standing():
+        while self.core.being_set_up() or self.core.standing() or not self.callers.is_at_rest():
             await asyncio.sleep(LOOK_S)
-        await asyncio.sleep(LOOK_S)
+        await self.callers.finish_all()
 
     async def close(self):
         self.alarm.stop()
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -5,7 +5,9 @@
 hands the module's events over and carries out its actions. Times are whole microseconds on a clock that only
 advances; `offset` brings Unix times onto it.
 
-Calls being set up are known by (connection, id), calls that stand by their id alone. Each seizure gets exactly one end.
+Calls being set up are known by (connection, id), calls that stand by their id alone. Each seizure gets one end.
+An INVITE is built when it is written: a seizure whose connection is not up is nowhere but here and can be taken back.
+A release is owed until its caller has heard it, or its time is over with every connection tried.
 """
 
 from collections import deque
@@ -20,16 +22,20 @@
 from thorndale.platform.links import Central, Link
 from thorndale.timers import Timers
 
-TEND_US = 50_000  # us between two looks at the connections to central servers
+TEND_US = 50_000  # us between two looks at releases owed and connections to central servers
 RELEASES_KEPT = 20_000  # releases that wait for a connection from callers at most: as many as calls may stand
 FRESH_US = 3_000_000  # us since its last set-up in which no caller closes a connection: they do after 4 s
+HEARD_US = 1_000_000  # us for which a release is kept that was sent: the time in which it must be told
+AGAIN_US = 250_000  # us in which a caller that answers releases has answered: four tries in that time
+CROSS_US = 50_000  # us in which a caller's close may cross what is sent: the protocol's
 EARLY_US = 30_000_000  # us for which a release of a call that is not known is kept, for the call may yet be told
 
 
 class Send:
     """What the core wants done on sockets; a shell or a test gives these."""
 
-    def to_caller(self, conn, data): ...
+    def to_caller(self, conn, data):
+        """Whether the connection takes it: one that is ending does not."""
 
     def end_caller(self, conn):
         """Closes a caller's connection once what was sent is out."""
@@ -37,7 +43,8 @@
     def connect(self, host, port):
         """Opens a connection to a central server; its key, under which `opened` or `server_lost` follows."""
 
-    def to_server(self, key, data): ...
+    def to_server(self, key, data):
+        """Whether the connection takes it."""
 
     def end_server(self, key): ...
 
@@ -45,12 +52,25 @@
 
 
 class Conn:
-    """A connection from callers. `open` is {id: Call}; `good`: a set-up that can be used came by it."""
+    """A connection from callers. `open` is {id: Call}; `good`: a set-up that can be used, or a caller's release, came
+    by it; `hears`: a release sent by it was answered."""
 
-    __slots__ = ("key", "open", "good", "used_at", "called_at")
+    __slots__ = ("key", "open", "good", "hears", "used_at", "called_at")
 
     def __init__(self, key, now):
-        self.key, self.open, self.good, self.used_at, self.called_at = key, {}, False, now, now
+        self.key, self.open, self.good, self.hears = key, {}, False, False
+        self.used_at, self.called_at = now, now
+
+
+class Release:
+    """What is owed to the caller of a call that stood and is over. `own`: the connection of its set-up; `by`: keys of
+    those that took it and are up; `sent_at`: when the first one did, `last_at`: when the last one did."""
+
+    __slots__ = ("call", "cause", "own", "by", "sent_at", "last_at")
+
+    def __init__(self, call, cause, own):
+        self.call, self.cause, self.own = call, cause, own
+        self.by, self.sent_at, self.last_at = set(), None, None
 
 
 class Call:
@@ -65,13 +85,15 @@
 
 
 class Seizure:
-    """One set-up at a central server. `over`: its end was told; an answer that comes still is released at once."""
+    """One set-up at a central server, wanted from `since` to `until`. `sent_at`: when its INVITE was written, None
+    before. `over`: its end was told; an answer that comes still is released at once."""
 
-    __slots__ = ("border", "call", "number", "central", "link", "sent_at", "timer", "over")
+    __slots__ = ("border", "call", "number", "central", "link", "since", "until", "sent_at", "timer", "over")
 
-    def __init__(self, border, call, number, central, now):
+    def __init__(self, border, call, number, central, now, until):
         self.border, self.call, self.number, self.central = border, call, number, central
-        self.link, self.sent_at, self.timer, self.over = None, now, None, False
+        self.since, self.until, self.sent_at = now, until, None
+        self.link, self.timer, self.over = None, None, False
 
     def due(self, now, name):
         self.timer = None
@@ -84,9 +106,9 @@
         self.door, self.timers = Door(module), Timers()
         self.conns, self.calls, self.links = {}, {}, {}  # by connection; by id, being set up and standing; by key
         self.centrals, self.by_index, self.servers = {}, {}, 0
-        self.unsent, self.done = deque(), []
+        self.owed, self.unsent, self.done = {}, deque(), []  # id: Release; Releases that no connection took
         self.early, self.early_at = {}, deque()  # id: (central's name, cause); (when to forget, id)
-        self.stopping, self.pings = False, 0
+        self.stopping, self.pings, self.hears = False, 0, False  # hears: callers here answer releases, as they may
         self.kinds = {kind.index: kind for kind in config.kinds.values()}
         self.count = {}
 
@@ -114,6 +136,8 @@
                 self.by_index[self.servers] = central
                 self.servers += 1
             started = max(1, entry.started_ms * 1000 - self.offset) if entry.started_ms else 0
+            if entry.state != io.SERVING or central.started != started:
+                self._take_back(now, central)
             if central.started != started and central.state >= 0 and entry.state == io.SERVING:
                 self._cut(now, central, "started anew")
             moved = (central.host, central.port) != (entry.host, entry.port)
@@ -126,6 +150,7 @@
         for central in list(self.centrals.values()):
             if whole and central.name not in named and central.state != io.GONE:
                 central.state = io.GONE
+                self._take_back(now, central)
         if told or whole:
             self.door.tell(io.Servers(tuple(told), whole, disk))
         for central in list(self.centrals.values()):
@@ -168,7 +193,9 @@
             elif kind == isup.TEST:
                 passed = not self.stopping
                 self.send.to_caller(key, isup.encode(isup.RESULT, call, (isup.CAUSE, bytes((passed,)))))
-            elif kind != isup.HEARD:
+            elif kind == isup.HEARD:
+                self._heard(conn, call)
+            else:
                 raise PlatformError(f"type {kind} from a caller", "message")
         except PlatformError as fault:
             self._bad(now, conn, call, fault)
@@ -203,7 +230,7 @@
         self._note("set-ups")
         self.door.tell(io.Call(held.index, setup.call_type, 0, int(setup.number, 16), setup.within_us, setup.pool,
                                setup.redial, setup.again))
-        self._release_kept(conn)
+        self._release_kept(now)
 
     def _stands(self, now, conn, call, setup, kind):
         """A call that stands at a central server already: taken up after a restart, without an answer."""
@@ -214,14 +241,14 @@
         central = self.centrals.get(setup.at)
         name, cause = self.early.get(call, ("", outcomes.CUT))
         if central is None or name == setup.at:  # its server is gone, or has released it before this was told
-            self.send.to_caller(conn.key, isup.release(call, cause if name else outcomes.CUT))
+            self._release(now, call, cause if name else outcomes.CUT, conn)
             return
         held = Call(conn, call, setup, kind)
         held.central = central
         self.calls[call] = central.standing[call] = held
         if not central.links:
             self._open(now, central)
-        self._release_kept(conn)
+        self._release_kept(now)
 
     def _released(self, now, conn, call, cause):
         held = conn.open.get(call)
@@ -232,7 +259,7 @@
         held = self.calls.get(call)
         if held is not None and held.central is not None:
             self._note("released by callers")
-            central = held.central
+            conn.good, central = True, held.central
             self._to(now, central, sip.bye(held.text, 2, held.number, cause or outcomes.CLEARED))
             self._end_standing(now, held, io.COMPLETED, None)
 
@@ -252,6 +279,10 @@
         for held in list(conn.open.values()):
             self._note("left by a lost connection")
             self._give_up(now, held)
+        crossed = now - (HEARD_US if self.hears else CROSS_US)
+        for release in [r for r in self.owed.values() if key in r.by and r.sent_at > crossed]:
+            release.by.discard(key)
+            self._hand(now, release)
 
     def idle(self, now, quiet_us):
         """Connections from callers without a set-up open and without a message for so long, longest first."""
@@ -265,25 +296,46 @@
         if held.conn is not None:
             held.conn.open.pop(held.id, None)
 
-    def _release_kept(self, conn):
-        while self.unsent:
-            call, cause = self.unsent.popleft()
-            self.send.to_caller(conn.key, isup.release(call, cause))
-
-    def _release(self, now, held, cause):
-        """The release of a call that stood, towards its caller: by its own connection, or by the one with the latest
-        set-up where that is gone or idle, since a caller may close an idle one before it has read what comes."""
-        conn = held.conn if held.conn is not None and held.conn.key in self.conns else None
-        if conn is None or not conn.open and now - conn.called_at > FRESH_US:
-            good = [c for c in self.conns.values() if c.good]
-            conn = max(good, key=lambda c: (bool(c.open), c.called_at), default=conn)
-        if conn is not None:
-            self.send.to_caller(conn.key, isup.release(held.id, cause))
-        elif len(self.unsent) < RELEASES_KEPT:
-            self.unsent.append((held.id, cause))
-        else:
+    def _release_kept(self, now):
+        for _ in range(len(self.unsent)):
+            self._hand(now, self.unsent.popleft())
+
+    def _release(self, now, call, cause, own):
+        """A call that stood is over, and its caller is owed the release."""
+        if call not in self.owed:
+            release = self.owed[call] = Release(call, cause, own)
+            self._hand(now, release)
+
+    def _hand(self, now, release):
+        """Sends a release by one more connection: one that is ending loses it without a word, and so does one whose
+        peer is not those callers', so it goes on to the next until it is heard. First by one that has heard others,
+        then by its own, then by the one with the latest set-up: an idle one may be closed before what comes is read."""
+        conns = [c for c in self.conns.values() if (c.good or c is release.own) and c.key not in release.by]
+        conns.sort(key=lambda c: (c.hears, c is release.own and (bool(c.open) or now - c.called_at <= FRESH_US),
+                                  bool(c.open), c.called_at))
+        while conns:
+            conn = conns.pop()
+            if self.send.to_caller(conn.key, isup.release(release.call, release.cause)):
+                conn.used_at = now
+                release.by.add(conn.key)
+                release.last_at = now
+                if release.sent_at is None:
+                    release.sent_at = now
+                else:
+                    self._note("releases sent again")
+                break
+        if not release.by and len(self.unsent) < RELEASES_KEPT:
+            self.unsent.append(release)
+        elif not release.by:
+            del self.owed[release.call]
             self._note("releases given up")
 
+    def _heard(self, conn, call):
+        release = self.owed.get(call)
+        if release is not None and conn.key in release.by:
+            conn.hears = self.hears = True
+            del self.owed[call]
+
     # ---- central servers ----
 
     def _open(self, now, central):
@@ -300,21 +352,34 @@
             if central.state == io.GONE:
                 return
             link = self._open(now, central)
-        self._write(link, data)
-
-    def _write(self, link, data):
         if link.opened:
             self.send.to_server(link.key, data)
         else:
             link.waiting.append(data)
 
+    def _invite(self, now, seizure):
+        """The moment of a set-up: what comes before it has sent nothing, what comes after may have run."""
+        call = seizure.call
+        if self.send.to_server(seizure.link.key, sip.invite(call.text, 1, call.number, call.kind.name,
+                                                            seizure.until - now, call.body)):
+            seizure.sent_at = now
+            seizure.central.count("sent")
+
+    def _take_back(self, now, central):
+        """The process that was chosen is leaving or another has its place: what was not written goes elsewhere."""
+        for link in central.links:
+            for seizure in [s for s in link.out.values() if s.sent_at is None]:
+                self._cancel(now, seizure, io.NOT_SENT, False)
+
     def server_opened(self, now, key):
         link = self.links.get(key)
         if link is not None:
             link.central.opened(link, now)
-            if link.waiting:
-                self.send.to_server(key, b"".join(link.waiting))
-                link.waiting = []
+            for data in link.waiting:
+                self.send.to_server(key, data)
+            link.waiting = []
+            for seizure in link.out.values():
+                self._invite(now, seizure)
 
     def server_lost(self, now, key, kind):
         """A connection to a central server has ended: 'refused', 'unreached', 'lost' or 'spoilt'."""
@@ -333,13 +398,12 @@
         central = link.central
         if link in central.links:
             central.links.remove(link)
-        link.usable = False
         central.count(f"connections {kind}")
         if kind == "lost":
             central.broke_at = now
         for seizure in list(link.out.values()):
             if not seizure.over:
-                self._end(now, seizure, outcomes.CONNECTION[kind], None)
+                self._end(now, seizure, outcomes.connection(kind, seizure.sent_at is not None), None)
         link.out = {}
         if kind != "spoilt":
             central.failed(now)
@@ -370,7 +434,7 @@
         if signal.status < 200:
             return
         seizure = link.out.get(signal.call)
-        if seizure is None:
+        if seizure is None or seizure.sent_at is None:
             link.central.count("answers of nothing open")
             return
         call, central = seizure.call, link.central
@@ -422,7 +486,7 @@
         seizure = call.seizure
         if call.central is central:
             self._end_standing(now, call, outcomes.ended(signal.cause), report)
-            self._release(now, call, signal.cause or outcomes.CUT)
+            self._release(now, call.id, signal.cause or outcomes.CUT, call.conn)
         elif seizure is not None and seizure.central is central and not outcomes.of_a_standing(signal.cause):
             seizure.link.out.pop(call.text, None)
             self._end(now, seizure, io.RESET, report)
@@ -452,7 +516,7 @@
             self.send.log("calls cut", server=central.name, calls=len(central.standing), why=why)
         for call in list(central.standing.values()):
             self._end_standing(now, call, io.RESET, None)
-            self._release(now, call, outcomes.CUT)
+            self._release(now, call.id, outcomes.CUT, call.conn)
 
     # ---- seizures ----
 
@@ -470,14 +534,17 @@
         if call.over:
             self.done.append(call)
         central.count(outcomes.NAMES[outcome])
-        self.door.tell(io.Ended(call.index, seizure.number, central.index, outcome, 0, now - seizure.sent_at, final,
-                                report))
+        since = seizure.since if seizure.sent_at is None else seizure.sent_at
+        self.door.tell(io.Ended(call.index, seizure.number, central.index, outcome, 0, now - since, final, report))
 
     def _cancel(self, now, seizure, outcome, final):
-        link = seizure.link
-        if link.usable:
-            call = seizure.call
-            self._write(link, sip.cancel(call.text, 1, call.number))
+        """Takes a seizure back: with a CANCEL where its INVITE was written, else it never leaves."""
+        link, call = seizure.link, seizure.call
+        if seizure.sent_at is None:
+            del link.out[call.text]
+            outcome = io.UNREACHABLE if outcome == io.TIMED_OUT else io.NOT_SENT
+        else:
+            self.send.to_server(link.key, sip.cancel(call.text, 1, call.number))
         self._end(now, seizure, outcome, None, final)
 
     def timed_out(self, now, seizure):
@@ -540,14 +607,17 @@
 
     def _seize(self, now, call, action):
         central = self.by_index[action.server]
-        seizure = call.seizure = Seizure(self, call, call.sent, central, now)
+        seizure = call.seizure = Seizure(self, call, call.sent, central, now, now + max(1, action.timeout_us))
         call.sent += 1
-        link = central.pick(call.text) or self._open(now, central)
+        link, more = central.pick(call.text)
+        if more:
+            opened = self._open(now, central)
+            link = link or opened
         seizure.link = link
         link.out[call.text] = seizure
-        seizure.timer = self.timers.set(now + max(1, action.timeout_us), seizure, "late")
-        central.count("sent")
-        self._write(link, sip.invite(call.text, 1, call.number, call.kind.name, action.timeout_us, call.body))
+        seizure.timer = self.timers.set(seizure.until, seizure, "late")
+        if link.opened:
+            self._invite(now, seizure)
 
     def _named(self, text):
         """A log line of the module's with the server's id in place of its index."""
@@ -557,9 +627,14 @@
             return f"{head} {self.by_index[int(index)].name}{colon}{tail}"
         return text
 
-    # ---- the look at connections ----
+    # ---- the look at releases and connections ----
 
     def _tend(self, now):
+        for release in [r for r in self.owed.values() if r.by]:
+            if now - release.sent_at >= HEARD_US:
+                del self.owed[release.call]
+            elif self.hears and now - release.last_at >= AGAIN_US:
+                self._hand(now, release)
         for central in list(self.centrals.values()):
             for link in list(central.links):
                 central.forget_given_up(link, now)
--- a/thorndale/platform/links.py
+++ b/thorndale/platform/links.py
@@ -17,12 +17,13 @@
 
 class Link:
     """A connection. `out` is {call: Seizure}, those given up and not answered yet included: answers are matched by
-    Call-ID and method alone, and a server may answer each with the same CSeq number."""
+    Call-ID and method alone, and a server may answer each with the same CSeq number. `waiting`: what concerns calls
+    that stand and goes once it is up. What is in a server's `links` has not ended."""
 
-    __slots__ = ("key", "central", "opened", "usable", "out", "waiting", "heard_at", "asked_at", "made_at")
+    __slots__ = ("key", "central", "opened", "out", "waiting", "heard_at", "asked_at", "made_at")
 
     def __init__(self, key, central, now):
-        self.key, self.central, self.opened, self.usable = key, central, False, True
+        self.key, self.central, self.opened = key, central, False
         self.out, self.waiting = {}, []
         self.heard_at, self.asked_at, self.made_at = now, 0, now
 
@@ -45,14 +46,15 @@
         self.passed[what] = self.passed.get(what, 0) + 1
 
     def pick(self, call):
-        """The connection for a set-up of this call, or None where a new one should be opened: the one with the
-        fewest out, so that a spoilt one costs as few others as can be, and none on which an earlier set-up of the
-        call has no answer, as the two could not be told apart."""
-        links = [link for link in self.links if link.usable and call not in link.out]
-        best = min(links, key=lambda link: (len(link.out), not link.opened), default=None)
-        if best is not None and best.out and len(self.links) < LINKS_MOST:
-            return None
-        return best
+        """(connection for a set-up of this call, or None; whether one more should be opened). The connection is an
+        open one before one that may yet take long to come up, and the one with the fewest out, so that a spoilt
+        answer costs as few others as can be; none on which an earlier set-up of the call has no answer, as the two
+        could not be told apart."""
+        links = [link for link in self.links if call not in link.out]
+        best = min(links, key=lambda link: (not link.opened, len(link.out)), default=None)
+        coming = any(not link.opened for link in self.links)
+        more = best is None or bool(best.out) and len(self.links) < LINKS_MOST and not (best.opened and coming)
+        return best, more
 
     def forget_given_up(self, link, now):
         """Set-ups given up of which nothing was heard since: else each that is never answered stays for good."""
@@ -62,7 +64,7 @@
 
     def any_open(self):
         for link in self.links:
-            if link.opened and link.usable:
+            if link.opened:
                 return link
         return None
 
--- a/thorndale/platform/outcomes.py
+++ b/thorndale/platform/outcomes.py
@@ -11,6 +11,12 @@
 # How a connection ended under a set-up: refused proves that nothing ran, and so does one that never came up.
 CONNECTION = {"refused": io.UNREACHABLE, "unreached": io.UNREACHABLE, "lost": io.RESET, "spoilt": io.RESET}
 
+
+def connection(kind, sent):
+    """The outcome of a set-up whose connection ended so; one that was not sent has not run, whatever ended it."""
+    found = CONNECTION[kind]
+    return io.NOT_SENT if found == io.RESET and not sent else found
+
 # The module's outcomes in the log, by their number.
 NAMES = ("completed", "engaged", "full", "timed out", "unreachable", "reset", "cancelled", "not sent", "faulty",
          "empty")
