The cold sum of twenty processes is asked for five times what the server takes

With the load as it was the test passed on a scratch copy whose module takes no server for cold: the press of the others kept the sum down. Now 200 calls a second want a server that took 40 while warm: that copy fails at 0.44 s with 46 set-ups in the window where 32 are the budget; the text as it stands passes.

--- a/tests/node/test_many.py
+++ b/tests/node/test_many.py
@@ -203,7 +203,7 @@
     plans = [LinkPlan(at=0.0, seconds=60.0, proxies=names[0], to=[cold.name], delay_ms=250, jitter_ms=100)]
 
     async def test(many):
-        await many.load(TAKES * 2.2, 6)  # nearly half to each
+        await many.load(TAKES, 6)
         taken = len(many.servers[0].came_at) / 6
         now = many.relay.now() / 1e6
         many.plans += [LinkPlan(at=now + 0.2, seconds=1.0, proxies=names[1], to=[cold.name], cut=True),
@@ -211,7 +211,7 @@
         await many.add(cold)
         began = time.monotonic()
         await many.list((many.servers[0], 2, 0, 0), (cold, 0, 0, int(time.time() * 1000)))
-        await many.load(TAKES * 2.2, 5)
+        await many.load(TAKES * 5, 5)  # far more than a cold one may be sent
         came = [at - began for at in cold.came_at]
         window = RULES["fallMs"] / 1000
         for n, at in enumerate(came):
