A call whose answer its caller's connection does not take stands for nobody and is released

Found by generated orders of up to five of seventeen events in the life of a call (hypothesis, 1,500 orders): the answer came while the caller's connection was ending and its close not told yet; it was not taken, and the call stood at its server until the server ended it. Now it is released there at once.

--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -464,11 +464,14 @@
         lag = now - seizure.sent_at
         central.count("stood")
         central.lags.append(lag)
-        self.send.to_caller(call.conn.key, isup.encode(isup.ANSWER, call.id, (isup.DESCRIPTION, body)))
+        taken = self.send.to_caller(call.conn.key, isup.encode(isup.ANSWER, call.id, (isup.DESCRIPTION, body)))
         call.conn.open.pop(call.id, None)
         call.central, call.body = central, b""
         central.standing[call.id] = call
         self.door.tell(io.Stood(call.index, seizure.number, central.index, lag))
+        if not taken:  # its caller's connection is ending: it stands for nobody
+            self.send.to_server(seizure.link.key, sip.bye(call.text, 2, call.number, outcomes.CLEARED))
+            self._end_standing(now, call, io.COMPLETED, None)
 
     def _bye(self, now, link, signal):
         central = link.central
