What one turn of the loop has read is known whole before anything of it is acted on

Seen: a test that stops the proxy (SIGSTOP), lets callers send set-ups and then the control feed tell that their server is draining, waits past the grace and lets it go on: in each of six runs all set-ups went to that server. A trace: the feed's event was read from its socket in the same turn, but its task came after the callers' (2284.1419 to 1439 six INVITEs, 2284.1441 listed); looking into the feed's socket first did not help, as it was empty already.

So Shell.batch, which handed the events over after each read, now does so once in the next turn, when every task that the turn's reads woke has run. With that, a close or cancel by another connection comes first too, and the module is called less often.

--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -173,6 +173,25 @@
     play(test, tmp_path)
 
 
+def test_a_server_told_leaving_during_a_stand_still_gets_nothing_after_its_grace(tmp_path):
+    """The set-ups lie in the sockets before the word on their server does."""
+    async def test(p):
+        callers = [await p.caller() for _ in range(6)]
+        assert all([await c.test() for c in callers])
+        await until(lambda: p.feed.asked)
+        stopped(p)
+        calls = [c.setup(call_id(n), within=2900) for n, c in enumerate(callers)]
+        await out(*callers)
+        await asyncio.sleep(0.05)
+        a = p.servers[0]
+        p.feed.add(2, (0xA, a.host, a.port, 1, 0, 0))
+        await asyncio.sleep(SETTINGS["rules"]["drainGraceMs"] / 1000 + 0.1)
+        p.process.send_signal(signal.SIGCONT)
+        await until(lambda: all(c.kinds(call) for c, call in zip(callers, calls, strict=True)))
+        assert not a.seen and p.servers[1].seen
+    play(test, tmp_path)
+
+
 class Late:
     """A central server's address at which connections come up late: its queue is full until `come_up`."""
 
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -137,6 +137,13 @@
         self.core.listed(now_us(), event)
 
     def batch(self):
+        """What has come is acted on once all that this turn of the loop has read is known: set-ups, their callers'
+        closes and the word that a server is leaving lie side by side after a stand-still, in an order of chance."""
+        if "act" not in self.handles:
+            self.handles["act"] = self.loop.call_soon(self._act)
+
+    def _act(self):
+        del self.handles["act"]
         self.core.flush(now_us())
         self.alarm.arm()
 
