--- a/tests/net/test_ends_of_streams.py
+++ b/tests/net/test_ends_of_streams.py
@@ -2,6 +2,7 @@
 peer does, it does between two turns of the loop."""
 
 import asyncio
+import contextlib
 import socket
 import struct
 
@@ -110,6 +111,22 @@
     ordered(test)
 
 
+def test_a_peer_that_goes_on_sending_to_a_finished_connection_is_not_read_for_long():
+    async def test(ends, core, number):
+        peer, hop = await admitted(ends, core, number)
+        connection = ends.tcp.by_hop[hop]
+        ends.tcp.finish(hop)
+        loop, sent = asyncio.get_running_loop(), 0
+        with contextlib.suppress(OSError):
+            while ends.tcp.tasks and sent < 50_000_000:
+                await loop.sock_sendall(peer, b"x" * 65_536)
+                sent += 65_536
+        await until(lambda: not ends.tcp.tasks, LINGER_S / 2)
+        assert connection.thrown < 1_000_000 and len(core.seen) == 1
+        peer.close()
+    ordered(test)
+
+
 def test_what_a_peer_sent_before_it_reset_is_read_though_nothing_can_be_sent():
     async def test(ends, core, number):
         peer, hop = await admitted(ends, core, number)
--- a/thorndale/net/tcp.py
+++ b/thorndale/net/tcp.py
@@ -22,6 +22,7 @@
 READS = 8  # reads of one connection before what came is acted on: what lies behind a message may take it back
 LINGER_S = 0.5  # s for which a finished connection is read and thrown away: closed with bytes unread, it would be
 # reset by the kernel, and what is on its way to the peer with it
+THROWN_MOST = 65_536  # bytes thrown away of it at most: a sender at full speed would take the loop's time
 
 
 class Stream(NamedTuple):
@@ -76,7 +77,7 @@
         self.framer, self.closed, self.partial_at = owner.stream.framer(), False, 0.0
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.established, self.opened_at, self.spoke = not opening, owner.loop.time(), False
-        self.ending_at, self.told, self.kind = None, False, "lost"
+        self.ending_at, self.told, self.thrown, self.kind = None, False, 0, "lost"
 
     def send(self, data):
         """Whether the connection has taken the data: the kernel has it, or it waits here for the peer to read."""
@@ -157,7 +158,7 @@
             await self.drained.wait()
             size, came = await loop.sock_recv_into(self.sock, buffer), False
             for _ in range(READS):
-                if not size:
+                if not size or self.thrown > THROWN_MOST:
                     return
                 came = self._take(view[:size]) or came
                 try:
@@ -173,16 +174,18 @@
     def _take(self, data):
         """Hands on the whole messages that the data ends; whether there was one. A connection that is ending is
         read and what comes thrown away."""
+        if self.ending_at is not None:
+            self.thrown += len(data)
+            return False
         came = False
-        if self.ending_at is None:
-            for message in self.framer.feed(data):
-                came = self.spoke = True
-                if message is KEEPALIVE:
-                    self.send(b"\r\n")
-                else:
-                    self.owner.on_data(message, self.hop)
-                if self.ending_at is not None:
-                    break
+        for message in self.framer.feed(data):
+            came = self.spoke = True
+            if message is KEEPALIVE:
+                self.send(b"\r\n")
+            else:
+                self.owner.on_data(message, self.hop)
+            if self.ending_at is not None:
+                break
         return came
 
     async def run(self):
