--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -195,12 +195,12 @@
         self.say("info", "configuration in force", feed=config.feed)
 
     async def stop(self):
-        """SIGTERM: what still comes is served; the process ends once nothing is open and nothing stands, or when it
-        is killed: a release that nobody passes on would leave its caller standing."""
+        """SIGTERM: what still comes is served; the process ends once nothing is owed, or when it is killed: a release
+        that nobody passes on would leave its caller standing."""
         self.say("info", "stopping", open=self.core.being_set_up(), standing=self.core.standing())
         self.core.stop()
         await asyncio.sleep(STOP_S)
-        while self.core.being_set_up() or self.core.standing() or not self.callers.is_at_rest():
+        while self.core.owes() or not self.callers.is_at_rest():
             await asyncio.sleep(LOOK_S)
         await self.callers.finish_all()
 
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -666,5 +666,9 @@
     def standing(self):
         return sum(len(central.standing) for central in self.centrals.values())
 
+    def owes(self):
+        """Whether anybody is owed an answer, a release now or one at a call's end."""
+        return bool(self.being_set_up() or self.standing() or self.owed)
+
     def being_set_up(self):
         return sum(len(conn.open) for conn in self.conns.values())
