--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -37,6 +37,16 @@
     return key, call
 
 
+def stands_beside_another():
+    """A call that stands on connection c, with a caller on d whose set-up came later."""
+    rig = Rig()
+    rig.up()
+    key, call = stands(rig)
+    rig.caller("d")
+    rig.setup("d")
+    return rig, key, call
+
+
 # ---- a set-up whose connection is not up ----
 
 @pytest.mark.parametrize("gone", ["given up", "closed"])
@@ -131,11 +141,7 @@
 # ---- a release and the connections that end under it ----
 
 def test_a_release_that_the_own_connection_does_not_take_goes_by_another():
-    rig = Rig()
-    rig.up()
-    key, call = stands(rig)
-    rig.caller("d")
-    rig.setup("d")
+    rig, key, call = stands_beside_another()
     rig.ending.add("c")
     rig.bye(key, call)
     assert releases(rig, call) == ["d"]
@@ -144,11 +150,7 @@
 
 
 def test_a_release_crossed_by_the_callers_close_comes_once_more_by_another_connection():
-    rig = Rig()
-    rig.up()
-    key, call = stands(rig)
-    rig.caller("d")
-    rig.setup("d")
+    rig, key, call = stands_beside_another()
     rig.bye(key, call)
     first, = releases(rig, call)
     rig.later(20 * MS)
@@ -171,11 +173,7 @@
 
 
 def test_a_release_that_was_heard_is_not_sent_again_whatever_ends():
-    rig = Rig()
-    rig.up()
-    key, call = stands(rig)
-    rig.caller("d")
-    rig.setup("d")
+    rig, key, call = stands_beside_another()
     rig.bye(key, call)
     first, = releases(rig, call)
     rig.heard(call, first)
