--- a/thorndale/adapter/door.py
+++ b/thorndale/adapter/door.py
@@ -129,9 +129,7 @@
             ref = f.need(fields, "ref", f.whole)
             if ref not in lists:
                 raise f.BadInput(f"list {ref} was never defined")
-            entries = tuple(
-                ours.Server(self.server(s), pool, state, started) for s, pool, state, started in lists[ref]
-            )
+            entries = tuple(ours.Server(self.server(s), pool, state, started) for s, pool, state, started in lists[ref])
             return ours.Servers(entries, form != "diff", form == "disk")
         if name == "MEMO":
             return ours.Told(f.need(fields, "srcPeer", f.whole), f.need(fields, "bytes", f.octets))
--- a/thorndale/adapter/host.py
+++ b/thorndale/adapter/host.py
@@ -99,13 +99,9 @@
     except BrokenPipeError:
         return 1
     except Exception as bad:  # a fault of the module ends the day too, with a plain message and no traceback
-        said = (
-            str(bad) if isinstance(bad, f.BadInput) else f"fault near line {at}: {type(bad).__name__}: {bad}"
-        )
+        said = str(bad) if isinstance(bad, f.BadInput) else f"fault near line {at}: {type(bad).__name__}: {bad}"
         print(f"thorndale.adapter: {said}", file=errors)
         if number is not None and number.isdigit():
-            sink.write(
-                (frames.line("PANIC", proxy=number, reasonText=" ".join(said.split())) + "\nEND\n").encode()
-            )
+            sink.write((frames.line("PANIC", proxy=number, reasonText=" ".join(said.split())) + "\nEND\n").encode())
             sink.flush()
         return 1
--- a/thorndale/call/book.py
+++ b/thorndale/call/book.py
@@ -148,16 +148,26 @@
             return
         transport, host, port = border.local(hop)
         via = via_text(transport, host, port, border.branch())
-        extra = [("Event", "pool-book"), ("Expires", str(self.expires_s)), ("Accept", "application/json"),
-                 ("Contact", border.contact(hop))]
+        extra = [
+            ("Event", "pool-book"),
+            ("Expires", str(self.expires_s)),
+            ("Accept", "application/json"),
+            ("Contact", border.contact(hop)),
+        ]
         if self.dialog is None:
             self.token, self.call_id = border.token(), border.token()
             self.tag = self.token + "s"
             border.owners[self.token] = self
             message = Message("SUBSCRIBE", self.uri)
-            for name, value in (("Via", via), ("Max-Forwards", "70"),
-                                ("From", f"<sip:proxy@{host}>;tag={self.tag}"), ("To", f"<{self.uri}>"),
-                                ("Call-ID", self.call_id), ("CSeq", "1 SUBSCRIBE"), *extra):
+            for name, value in (
+                ("Via", via),
+                ("Max-Forwards", "70"),
+                ("From", f"<sip:proxy@{host}>;tag={self.tag}"),
+                ("To", f"<{self.uri}>"),
+                ("Call-ID", self.call_id),
+                ("CSeq", "1 SUBSCRIBE"),
+                *extra,
+            ):
                 message.add(name, value)
         else:
             message = self.dialog.request("SUBSCRIBE", via, extra)
@@ -255,8 +265,11 @@
         if self.dialog is not None:
             transport, host, port = self.border.local(self.dialog.hop)
             via = via_text(transport, host, port, self.border.branch())
-            message = self.dialog.request("SUBSCRIBE", via, [("Event", "pool-book"), ("Expires", "0"),
-                                                             ("Contact", self.border.contact(self.dialog.hop))])
+            message = self.dialog.request(
+                "SUBSCRIBE",
+                via,
+                [("Event", "pool-book"), ("Expires", "0"), ("Contact", self.border.contact(self.dialog.hop))],
+            )
             self.border.layer.request(now, message, self.dialog.hop, GONE)
         self.state, self.dialog = "stopped", None
         self.border.owners.pop(self.token, None)
--- a/thorndale/call/border.py
+++ b/thorndale/call/border.py
@@ -31,9 +31,20 @@
 from thorndale.timers import Timers
 
 ALLOWED = "INVITE, ACK, CANCEL, BYE, OPTIONS, UPDATE, INFO, MESSAGE, REFER, NOTIFY"
-KNOWN = frozenset((
-    "REGISTER", "SUBSCRIBE", "NOTIFY", "PUBLISH", "MESSAGE", "INFO", "UPDATE", "REFER", "PRACK", "BYE",
-))
+KNOWN = frozenset(
+    (
+        "REGISTER",
+        "SUBSCRIBE",
+        "NOTIFY",
+        "PUBLISH",
+        "MESSAGE",
+        "INFO",
+        "UPDATE",
+        "REFER",
+        "PRACK",
+        "BYE",
+    )
+)
 MASK = (1 << 64) - 1
 SWEEP_US = 1_000_000  # us between looks for calls that stand too long
 RECORDS_US = 4_000  # us between two looks at what the records want, where no message brings one about
@@ -42,8 +53,19 @@
 
 
 class Border:
-    def __init__(self, settings, rules, seed, listeners, send, say, keep=lambda data: None, wall_offset_us=0,
-                 ledger=None, hide=str):
+    def __init__(
+        self,
+        settings,
+        rules,
+        seed,
+        listeners,
+        send,
+        say,
+        keep=lambda data: None,
+        wall_offset_us=0,
+        ledger=None,
+        hide=str,
+    ):
         """`rules` is the RuleSet that sorts calls; `listeners` is a list of (transport, host, port) that are open;
         `seed` a random number of 64 bits; `wall_offset_us` the wall clock less the clock of `now`;
         `ledger` a records.Ledger, or None where no records are kept; `hide(number)` what they keep of a caller's."""
@@ -360,8 +382,9 @@
         if method == "CANCEL":
             invite = self.layer.cancelled(message)
             if invite is None:
-                self.ledger.cancelled(now, message.call_id, message.from_tag, message.cseq[0],
-                                      now + self.wall_offset_us)
+                self.ledger.cancelled(
+                    now, message.call_id, message.from_tag, message.cseq[0], now + self.wall_offset_us
+                )
             if invite is None or invite.table is tx.table:
                 tx.respond(now, 481, self.token())
                 return
@@ -510,8 +533,13 @@
 
     def left(self):
         """What is held, by name, for status and for the count at the end."""
-        return {"calls": self.open_calls(), "numbers": len(self.door), "dialogs": len(self.owners),
-                "transactions": len(self.layer), "timers": len(self.timers)}
+        return {
+            "calls": self.open_calls(),
+            "numbers": len(self.door),
+            "dialogs": len(self.owners),
+            "transactions": len(self.layer),
+            "timers": len(self.timers),
+        }
 
 
 def _number(key):
--- a/thorndale/call/call.py
+++ b/thorndale/call/call.py
@@ -23,10 +23,41 @@
 
 
 class Call:
-    __slots__ = ("border", "id", "index", "state", "tx", "number", "caller_uri", "body", "passed", "hops", "seizure",
-                 "seizures", "legs", "answers", "relays", "refusal", "outcome", "byes", "server", "came", "owed",
-                 "stood_at", "kind", "wait_bye", "rule", "rules", "client", "group", "caller", "priority", "told",
-                 "held", "caller_seq")
+    __slots__ = (
+        "border",
+        "id",
+        "index",
+        "state",
+        "tx",
+        "number",
+        "caller_uri",
+        "body",
+        "passed",
+        "hops",
+        "seizure",
+        "seizures",
+        "legs",
+        "answers",
+        "relays",
+        "refusal",
+        "outcome",
+        "byes",
+        "server",
+        "came",
+        "owed",
+        "stood_at",
+        "kind",
+        "wait_bye",
+        "rule",
+        "rules",
+        "client",
+        "group",
+        "caller",
+        "priority",
+        "told",
+        "held",
+        "caller_seq",
+    )
 
     def __init__(self, border, token, tx, sorted_, hops):
         """`sorted_` is what the sorter found, `hops` the next leg's Max-Forwards. Raises SipError for an INVITE in
@@ -160,8 +191,14 @@
         self.refusal = message
         outcome, wait_us = causes.refusal(message)
         self._told(now, outcome, False, wait_us, report_of(message, self.border.load_header, self.border.instances))
-        self.border.say("debug", "seizure ended", call=self.id, outcome=causes.OUTCOME_NAMES[outcome],
-                        status=message.status, server=self.border.server_names[seizure.server])
+        self.border.say(
+            "debug",
+            "seizure ended",
+            call=self.id,
+            outcome=causes.OUTCOME_NAMES[outcome],
+            status=message.status,
+            server=self.border.server_names[seizure.server],
+        )
 
     def seizure_lost(self, now, seizure, kind):
         self._told(now, causes.FAILED_KIND[kind])
@@ -183,8 +220,13 @@
         if self.seizure is not None and self.seizure.state == "out":
             self.seizure.give_up(now)
             self._told(now, io.CANCELLED, True)
-        self._conclude(now, status, "left", "proxy" if status == 503 else "caller",
-                       lambda: status and self.tx.respond(now, status, f"{self.id}a"))
+        self._conclude(
+            now,
+            status,
+            "left",
+            "proxy" if status == 503 else "caller",
+            lambda: status and self.tx.respond(now, status, f"{self.id}a"),
+        )
 
     # ---- standing ----
 
@@ -337,8 +379,11 @@
         """Fields for a log line."""
         names = self.border.server_names
         return {
-            "call": self.id, "call_type": self.border.type_names[self.kind], "to": masked(self.number),
-            "seizures": self.seizures, "server": names[self.server] if self.server >= 0 else "",
-            "rule": self.rule, "ms": (self.border.now - self.came) // 1000,
+            "call": self.id,
+            "call_type": self.border.type_names[self.kind],
+            "to": masked(self.number),
+            "seizures": self.seizures,
+            "server": names[self.server] if self.server >= 0 else "",
+            "rule": self.rule,
+            "ms": (self.border.now - self.came) // 1000,
         }
-
--- a/thorndale/call/causes.py
+++ b/thorndale/call/causes.py
@@ -49,9 +49,16 @@
 FAILED_KIND = {"refused": io.UNREACHABLE, "lost": io.RESET, "timeout": io.TIMED_OUT}
 
 OUTCOME_NAMES = {
-    io.COMPLETED: "completed", io.BUSY: "busy", io.FULL: "full", io.TIMED_OUT: "timed out",
-    io.UNREACHABLE: "unreachable", io.RESET: "reset", io.CANCELLED: "cancelled", io.NOT_SENT: "not sent",
-    io.FAULTY: "faulty", io.EMPTY: "empty",
+    io.COMPLETED: "completed",
+    io.BUSY: "busy",
+    io.FULL: "full",
+    io.TIMED_OUT: "timed out",
+    io.UNREACHABLE: "unreachable",
+    io.RESET: "reset",
+    io.CANCELLED: "cancelled",
+    io.NOT_SENT: "not sent",
+    io.FAULTY: "faulty",
+    io.EMPTY: "empty",
 }
 
 # What a caller is answered when the module gives a call up (Fail), by the end of its last seizure: a status and
--- a/thorndale/call/door.py
+++ b/thorndale/call/door.py
@@ -27,12 +27,15 @@
         usable = [n for n, s in enumerate(settings.sites) if set(s.trunk_groups) & set(kind.trunk_groups)]
         rows = []
         for own, site in enumerate(settings.sites):
-            others = names[own + 1:] + names[:own] if site.next is None else site.next
+            others = names[own + 1 :] + names[:own] if site.next is None else site.next
             row = [n for n in (own, *(names.index(o) for o in others)) if n in usable]
             rows.append(row or usable)
         order.append(rows)
-    return {"site_pools": [[group[g] for g in s.trunk_groups] for s in settings.sites], "site_order": order,
-            "site_outside": [s.outside_per_s for s in settings.sites]}
+    return {
+        "site_pools": [[group[g] for g in s.trunk_groups] for s in settings.sites],
+        "site_order": order,
+        "site_outside": [s.outside_per_s for s in settings.sites],
+    }
 
 
 def module_settings(settings):
--- a/thorndale/call/passing.py
+++ b/thorndale/call/passing.py
@@ -3,11 +3,30 @@
 from thorndale.sip.headers import split_list
 
 # Header fields that belong to one leg and are made anew for the other (RFC 3261, RFC 3262, RFC 7339).
-OWN = frozenset((
-    "via", "from", "to", "call-id", "cseq", "contact", "record-route", "route", "max-forwards", "content-length",
-    "proxy-authorization", "proxy-authenticate", "proxy-require", "path", "timestamp", "expires", "rack", "rseq",
-    "retry-after", "reason",
-))
+OWN = frozenset(
+    (
+        "via",
+        "from",
+        "to",
+        "call-id",
+        "cseq",
+        "contact",
+        "record-route",
+        "route",
+        "max-forwards",
+        "content-length",
+        "proxy-authorization",
+        "proxy-authenticate",
+        "proxy-require",
+        "path",
+        "timestamp",
+        "expires",
+        "rack",
+        "rseq",
+        "retry-after",
+        "reason",
+    )
+)
 # Extensions that work from end to end through a back-to-back user agent; others are taken out of Supported, and
 # a Require of them is refused with 420 (RFC 3261 section 8.2.2.3).
 END_TO_END = frozenset(("timer", "norefersub", "histinfo", "eventlist", "answermode"))
--- a/thorndale/call/press.py
+++ b/thorndale/call/press.py
@@ -17,8 +17,18 @@
     """`limit_us`: lag of the loop from which on new calls are refused. `open_most`: calls held at once. `repeat_us`:
     how long a request may repeat itself, 64 * T1."""
 
-    __slots__ = ("limit_us", "open_most", "repeat_us", "lag", "lag_at", "refusing", "refused", "fresh", "older",
-                 "turned_at")
+    __slots__ = (
+        "limit_us",
+        "open_most",
+        "repeat_us",
+        "lag",
+        "lag_at",
+        "refusing",
+        "refused",
+        "fresh",
+        "older",
+        "turned_at",
+    )
 
     def __init__(self, limit_us, open_most, repeat_us):
         self.limit_us, self.open_most, self.repeat_us = limit_us, open_most, repeat_us
--- a/thorndale/call/relay.py
+++ b/thorndale/call/relay.py
@@ -91,8 +91,9 @@
             if self.cancelled:
                 border.cancel(now, tx)
             if status > 100 and not self.done:
-                self.tx.respond(now, status, reason=message.reason, extra=passed(message, border.load_header),
-                                body=message.body)
+                self.tx.respond(
+                    now, status, reason=message.reason, extra=passed(message, border.load_header), body=message.body
+                )
             return
         if self.done:
             if status < 300 and self.ack:
--- a/thorndale/call/seizure.py
+++ b/thorndale/call/seizure.py
@@ -13,8 +13,7 @@
 
 
 class Seizure:
-    __slots__ = ("call", "border", "number", "server", "sent_at", "tx", "state", "acks", "timer", "cancelled",
-                 "dialog")
+    __slots__ = ("call", "border", "number", "server", "sent_at", "tx", "state", "acks", "timer", "cancelled", "dialog")
 
     def __init__(self, call, number, server):
         self.call, self.border, self.number, self.server = call, call.border, number, server
--- a/thorndale/call/sort.py
+++ b/thorndale/call/sort.py
@@ -57,8 +57,18 @@
         number, caller = facts.number, facts.caller
         text = found.key or f"{caller}\0{number}"
         key = xxh64_intdigest(text.encode("utf-8", "surrogateescape")) or 1
-        return Sorted(kind, group, self.clients[found.client] if found.client else 0, key, number, caller,
-                      found.headers, found.rule, found.priority_class, unknown)
+        return Sorted(
+            kind,
+            group,
+            self.clients[found.client] if found.client else 0,
+            key,
+            number,
+            caller,
+            found.headers,
+            found.rule,
+            found.priority_class,
+            unknown,
+        )
 
 
 def masked(number):
--- a/thorndale/cli/balance.py
+++ b/thorndale/cli/balance.py
@@ -54,8 +54,10 @@
 def _bar(row, most):
     """One character for each of some sixty spans: how much of the most of any server."""
     step = max(1, -(-len(row) // 60))
-    return "".join(BARS[min(len(BARS) - 1, int(sum(row[n:n + step]) / step / most * (len(BARS) - 1) + 0.5))]
-                   for n in range(0, len(row), step))
+    return "".join(
+        BARS[min(len(BARS) - 1, int(sum(row[n : n + step]) / step / most * (len(BARS) - 1) + 0.5))]
+        for n in range(0, len(row), step)
+    )
 
 
 def show(fleet, proxies, proxy=""):
@@ -63,8 +65,10 @@
     pools = fleet.pools()
     found = measure.balance(fleet.rows, pools)
     seconds = len(fleet.rows[0])
-    console.print(f"{proxies} proxies, {len(fleet.servers)} servers in {len(pools)} trunk groups, {seconds} s from "
-                  f"{_clock(fleet.first)} UTC, {sum(map(sum, fleet.rows))} set-ups")
+    console.print(
+        f"{proxies} proxies, {len(fleet.servers)} servers in {len(pools)} trunk groups, {seconds} s from "
+        f"{_clock(fleet.first)} UTC, {sum(map(sum, fleet.rows))} set-ups"
+    )
     table = Table(title="By server", title_justify="left")
     for name in ("server", "trunk group", "set-ups", "of group", "of an even part", "proxies", "share learned"):
         table.add_column(name, justify="left" if name in ("server", "trunk group") else "right")
@@ -75,24 +79,38 @@
             name, sent = fleet.servers[s], sum(fleet.rows[s])
             own = [part for (_, server), part in fleet.parts.items() if server == name]
             shares = sorted(share for _, share, _ in own)
-            table.add_row(name, fleet.groups[s], str(sent), f"{sent / max(1, whole):.3f}",
-                          f"{sent / max(1, whole) * len(pool):.2f}", str(sum(1 for n, _, _ in own if n)),
-                          f"{shares[len(shares) // 2]:.2f}" if shares else "",
-                          _bar(fleet.rows[s], max(1, max(max(fleet.rows[o]) for o in pool))))
+            table.add_row(
+                name,
+                fleet.groups[s],
+                str(sent),
+                f"{sent / max(1, whole):.3f}",
+                f"{sent / max(1, whole) * len(pool):.2f}",
+                str(sum(1 for n, _, _ in own if n)),
+                f"{shares[len(shares) // 2]:.2f}" if shares else "",
+                _bar(fleet.rows[s], max(1, max(max(fleet.rows[o]) for o in pool))),
+            )
     console.print(table)
-    console.print(f"windows of {measure.WINDOW_S} s: least {found.least:.2f}, most {found.most:.2f} of an even part; "
-                  f"mean square beside independent even draws {found.variance:.2f} (1: chance; less: more even)")
-    console.print(f"largest second: {found.peak:.2f} of an even part beyond chance"
-                  + (f", {fleet.servers[found.peak_at[0]]} at {_clock(fleet.first + found.peak_at[1])}"
-                     if found.peak > 0 else ""))
-    herds = [herd for n in range(seconds)
-             if (herd := measure.peak(fleet.rows, pools, None, n, n + 1, seconds))[0] > PEAK_AT]
+    console.print(
+        f"windows of {measure.WINDOW_S} s: least {found.least:.2f}, most {found.most:.2f} of an even part; "
+        f"mean square beside independent even draws {found.variance:.2f} (1: chance; less: more even)"
+    )
+    console.print(
+        f"largest second: {found.peak:.2f} of an even part beyond chance"
+        + (f", {fleet.servers[found.peak_at[0]]} at {_clock(fleet.first + found.peak_at[1])}" if found.peak > 0 else "")
+    )
+    herds = [
+        herd for n in range(seconds) if (herd := measure.peak(fleet.rows, pools, None, n, n + 1, seconds))[0] > PEAK_AT
+    ]
     for beyond, server, second in sorted(herds, reverse=True)[:HERDS_SHOWN]:
-        console.print(f"HERD {_clock(fleet.first + second)}: {fleet.servers[server]} got {fleet.rows[server][second]}, "
-                      f"{beyond:.2f} of its part beyond chance")
+        console.print(
+            f"HERD {_clock(fleet.first + second)}: {fleet.servers[server]} got {fleet.rows[server][second]}, "
+            f"{beyond:.2f} of its part beyond chance"
+        )
     for server, first, span in found.idle[:HERDS_SHOWN]:
-        console.print(f"IDLE {_clock(fleet.first + first)}: {fleet.servers[server]} got nothing for {span} s while its "
-                      f"trunk group worked")
+        console.print(
+            f"IDLE {_clock(fleet.first + first)}: {fleet.servers[server]} got nothing for {span} s while its "
+            f"trunk group worked"
+        )
     if proxy:
         table = Table(title=f"Of {proxy}", title_justify="left")
         for name in ("server", "set-ups", "share learned", "why less"):
--- a/thorndale/cli/explain.py
+++ b/thorndale/cli/explain.py
@@ -34,9 +34,15 @@
 
 def invite(number, caller, headers):
     """An INVITE as text. `headers` are pairs."""
-    lines = [f"INVITE sip:{number}@127.0.0.1 SIP/2.0", "Via: SIP/2.0/UDP 127.0.0.1;branch=z9hG4bKx",
-             f"From: <sip:{caller}@127.0.0.1>;tag=x", f"To: <sip:{number}@127.0.0.1>", "Call-ID: x", "CSeq: 1 INVITE",
-             *(f"{name}: {value}" for name, value in headers)]
+    lines = [
+        f"INVITE sip:{number}@127.0.0.1 SIP/2.0",
+        "Via: SIP/2.0/UDP 127.0.0.1;branch=z9hG4bKx",
+        f"From: <sip:{caller}@127.0.0.1>;tag=x",
+        f"To: <sip:{number}@127.0.0.1>",
+        "Call-ID: x",
+        "CSeq: 1 INVITE",
+        *(f"{name}: {value}" for name, value in headers),
+    ]
     return "\r\n".join(lines).encode("utf-8", "surrogateescape") + b"\r\n\r\n"
 
 
@@ -89,7 +95,6 @@
         say(f"{path}: {fault}", err=True)
         return 2
 
-
     wrong = 0
     for n, example in enumerate(msgspec.convert(raw, list[Example])):
         given = facts_of(invite(example.number, example.caller, example.headers.items()), example.wall_s * 1_000_000)
@@ -97,8 +102,10 @@
         if found is None or not example.fits:
             held = (found is None) == (not example.fits)
         else:
-            held = all(not getattr(example, name) or getattr(example, name) == getattr(found, name)
-                       for name in ("rule", "call_type", "group", "client"))
+            held = all(
+                not getattr(example, name) or getattr(example, name) == getattr(found, name)
+                for name in ("rule", "call_type", "group", "client")
+            )
         if not held:
             wrong += 1
             say(f"{path}[{n}]: {example.number}: sorted {found._asdict() if found else None}")
--- a/thorndale/cli/fleet.py
+++ b/thorndale/cli/fleet.py
@@ -53,8 +53,10 @@
         raise typer.Exit(2)
     newest = max(seen.second for seen in found.values())
     groups = parts(found)
-    typer.echo(f"{len(found)} proxies, last heard {_clock(newest)} UTC, "
-               + ("all see the same" if len(groups) == 1 else f"{len(groups)} different views"))
+    typer.echo(
+        f"{len(found)} proxies, last heard {_clock(newest)} UTC, "
+        + ("all see the same" if len(groups) == 1 else f"{len(groups)} different views")
+    )
     for proxies, there in groups:
         typer.echo(f"  {len(proxies)} proxies ({_names(proxies)}) see {len(there)}: {_names(there)}")
     for member, states, since in differences(found):
@@ -73,11 +75,17 @@
     asked = {proxy: own.counts for proxy, own in rights.items() if own.counts.get("asked")}
     if asked:
         total = {key: sum(c.get(key, 0) for c in asked.values()) for key in ("asked", "given", "refused", "unheard")}
-        typer.echo(f"retries: {total['asked']} asked for, {total['given']} given, {total['refused']} refused, of these "
-                   f"{total['unheard']} without an answer; most refused at "
-                   + _names(sorted(asked, key=lambda p: -asked[p].get("refused", 0))[:3]))
+        typer.echo(
+            f"retries: {total['asked']} asked for, {total['given']} given, {total['refused']} refused, of these "
+            f"{total['unheard']} without an answer; most refused at "
+            + _names(sorted(asked, key=lambda p: -asked[p].get("refused", 0))[:3])
+        )
     for server, held, shut in by_server(rights):
         holders = sorted(held, key=lambda p: -held[p])
-        typer.echo(f"{server}: " + "; ".join(
-            [f"{sum(held.values())} rights, at {_names(holders)}"] * bool(held)
-            + [f"shut by hearsay at {len(shut)} ({_names(shut)})"] * bool(shut)))
+        typer.echo(
+            f"{server}: "
+            + "; ".join(
+                [f"{sum(held.values())} rights, at {_names(holders)}"] * bool(held)
+                + [f"shut by hearsay at {len(shut)} ({_names(shut)})"] * bool(shut)
+            )
+        )
--- a/thorndale/cli/main.py
+++ b/thorndale/cli/main.py
@@ -13,8 +13,9 @@
 from thorndale.cli.records import app as records
 from thorndale.config.load import ConfigError, load, matching
 
-app = typer.Typer(add_completion=False, no_args_is_help=True, help="A call router over trunk groups.",
-                  pretty_exceptions_enable=False)
+app = typer.Typer(
+    add_completion=False, no_args_is_help=True, help="A call router over trunk groups.", pretty_exceptions_enable=False
+)
 app.add_typer(records, name="records")
 app.add_typer(fleet, name="fleet")
 
@@ -45,9 +46,11 @@
 ):
     """Checks a settings file and opens nothing."""
     settings, rules = _load(file)
-    typer.echo(f"{file}: sound: {len(settings.listen)} listeners, {len(settings.servers)} central servers in "
-               f"{len(settings.trunk_groups)} trunk groups, {len(settings.call_types)} call types, {len(rules.rules)} "
-               f"rules of at most {rules.bound()} steps together")
+    typer.echo(
+        f"{file}: sound: {len(settings.listen)} listeners, {len(settings.servers)} central servers in "
+        f"{len(settings.trunk_groups)} trunk groups, {len(settings.call_types)} call types, {len(rules.rules)} "
+        f"rules of at most {rules.bound()} steps together"
+    )
     if settings.matching.examples:
         import os
 
--- a/thorndale/cli/records.py
+++ b/thorndale/cli/records.py
@@ -100,9 +100,11 @@
         bad |= bool(findings)
         newer = f", {check.newer} frames of a newer version kept unread" if check.newer else ""
         tail = f", {check.open_tail} not sealed yet" if check.open_tail else ""
-        typer.echo(f"{name}: {check.segments} segments, {check.erasures} erased, {check.frames} frames, "
-                   f"{check.bytes} bytes{tail}{newer}; last digest {digest}; "
-                   + (f"{len(findings)} faults" if findings else "sound"))
+        typer.echo(
+            f"{name}: {check.segments} segments, {check.erasures} erased, {check.frames} frames, "
+            f"{check.bytes} bytes{tail}{newer}; last digest {digest}; "
+            + (f"{len(findings)} faults" if findings else "sound")
+        )
     raise typer.Exit(1 if bad else 0)
 
 
@@ -129,8 +131,10 @@
                 found.see(line)
         for src in sources:
             for meeting in found.meetings(_lines(src, Counter())):
-                typer.echo(f"{meeting.what}: {' '.join(meeting.first)} ({meeting.answered[0]}) then "
-                           f"{' '.join(meeting.second)} ({meeting.answered[1]})")
+                typer.echo(
+                    f"{meeting.what}: {' '.join(meeting.first)} ({meeting.answered[0]}) then "
+                    f"{' '.join(meeting.second)} ({meeting.answered[1]})"
+                )
         typer.echo(f"{sum(map(len, found.legs.values()))} calls cut by a stop, {len(found.doubts)} in doubt")
         return
     table = Table(*("proxy", "call", "ended", "type", "client", "server", "s", "how", "by", "answered"))
@@ -141,18 +145,40 @@
         for line in quick or _lines(src, count):
             record = line.record
             ended = record.wall_us(record.ended_us)
-            if not begin <= ended < end or client and record.client != client or \
-                    number and not record.number.startswith(number) or call and call not in (record.call,
-                                                                                            record.caller_leg):
+            if (
+                not begin <= ended < end
+                or client
+                and record.client != client
+                or number
+                and not record.number.startswith(number)
+                or call
+                and call not in (record.call, record.caller_leg)
+            ):
                 continue
             shown += 1
             if as_json:
-                typer.echo(json.dumps({**dict(zip(ex.SCHEMA.names, ex.row_of(line), strict=True)),
-                                       "tries": [[t.server, t.outcome, t.at_us, t.took_us] for t in record.tries]}))
+                typer.echo(
+                    json.dumps(
+                        {
+                            **dict(zip(ex.SCHEMA.names, ex.row_of(line), strict=True)),
+                            "tries": [[t.server, t.outcome, t.at_us, t.took_us] for t in record.tries],
+                        }
+                    )
+                )
             elif shown <= SHOWN:
                 at = datetime.datetime.fromtimestamp(ended / 1e6, datetime.UTC).strftime("%m-%d %H:%M:%S.%f")[:-3]
-                table.add_row(line.proxy, record.call, at, record.call_type, record.client, record.server,
-                              f"{record.stood_for() / 1e6:.1f}", record.how, record.by, record.answered)
+                table.add_row(
+                    line.proxy,
+                    record.call,
+                    at,
+                    record.call_type,
+                    record.client,
+                    record.server,
+                    f"{record.stood_for() / 1e6:.1f}",
+                    record.how,
+                    record.by,
+                    record.answered,
+                )
     if not as_json:
         Console(width=None if Console().is_terminal else 140).print(table)
         typer.echo(f"{shown} records" + (f", the first {SHOWN} shown; --json shows all" if shown > SHOWN else ""))
@@ -190,8 +216,10 @@
         typer.echo(f"{to}: {fault}; nothing there was changed", err=True)
         raise typer.Exit(1) from None
     counts = manifest["counts"]
-    typer.echo(f"edition {number}: {counts.get('rated', 0)} records rated, {counts.get('unrated', 0)} unrated, "
-               f"{counts.get('in doubt', 0)} in doubt, total {manifest['total']} {manifest['currency']}")
+    typer.echo(
+        f"edition {number}: {counts.get('rated', 0)} records rated, {counts.get('unrated', 0)} unrated, "
+        f"{counts.get('in doubt', 0)} in doubt, total {manifest['total']} {manifest['currency']}"
+    )
     _passed({k: v for k, v in counts.items() if k not in ("rated", "unrated", "in doubt")})
     before = [n for n in ed.editions(to) if n < number]
     if before:
@@ -200,8 +228,9 @@
         except ed.EditionError as fault:
             typer.echo(f"no difference to edition {before[-1]}: {fault}", err=True)
             raise typer.Exit(1) from None
-        typer.echo(f"against edition {before[-1]}: " + ", ".join(f"{k} {v}" for k, v in sorted(count.items()))
-                   + f"; {path}")
+        typer.echo(
+            f"against edition {before[-1]}: " + ", ".join(f"{k} {v}" for k, v in sorted(count.items())) + f"; {path}"
+        )
         for (client, kind), (old, new) in sorted(sums.items()):
             if old != new:
                 typer.echo(f"  {client or '-'} {kind}: {old} -> {new}")
@@ -243,15 +272,19 @@
         raise typer.Exit(1) from None
     try:
         manifest = ex.make(to, _sources(folders), _lines, begin, end, client, form, size)
-        typer.echo(f"{manifest['totals'].get('records', 0)} records in {len(manifest['batches'])} batches, export "
-                   f"{manifest['id']}")
+        typer.echo(
+            f"{manifest['totals'].get('records', 0)} records in {len(manifest['batches'])} batches, export "
+            f"{manifest['id']}"
+        )
         _passed(manifest["passed_over"])
         if not url:
             return
         known = len(state.done)
         how, count, why = deliver(to, manifest, state, url, timeout, limit)
-        typer.echo(f"{how}: {len(state.done)} of {len(manifest['batches']) + 1} stored, {known} of them before; "
-                   + ", ".join(f"{k} {v}" for k, v in sorted(count.items())))
+        typer.echo(
+            f"{how}: {len(state.done)} of {len(manifest['batches']) + 1} stored, {known} of them before; "
+            + ", ".join(f"{k} {v}" for k, v in sorted(count.items()))
+        )
         for number, status in sorted(why.items()):
             typer.echo(f"batch {number}: the collector answered {status} and will not take it as it is", err=True)
         raise typer.Exit(0 if how == "done" else 1)
@@ -288,8 +321,11 @@
     if odd:
         typer.echo(f"{len(odd)} listed calls are in no doubt here: {', '.join(odd[:5])}", err=True)
     left = len(found.doubts) - len(words)
-    typer.echo(f"{len(found.doubts)} in doubt, {len(words)} " + ("settled" if write else "can be settled (--write)")
-               + f", {left} left")
+    typer.echo(
+        f"{len(found.doubts)} in doubt, {len(words)} "
+        + ("settled" if write else "can be settled (--write)")
+        + f", {left} left"
+    )
     raise typer.Exit(1 if left else 0)
 
 
--- a/thorndale/cli/tables.py
+++ b/thorndale/cli/tables.py
@@ -8,8 +8,20 @@
 from thorndale.standins.audit import RULES
 from thorndale.standins.day import leaks
 
-COLUMNS = ("offered", "redials", "stood", "in time", "rejected", "released", "left", "cut", "no answer", "gave up",
-           "lost", "refused")
+COLUMNS = (
+    "offered",
+    "redials",
+    "stood",
+    "in time",
+    "rejected",
+    "released",
+    "left",
+    "cut",
+    "no answer",
+    "gave up",
+    "lost",
+    "refused",
+)
 BREAKS_SHOWN = 20
 
 
@@ -41,11 +53,15 @@
         at = [lags[min(len(lags) - 1, int(len(lags) * p))] / 1000 for p in (0.5, 0.99)]
         console.print(f"set-up time: median {at[0]:.1f} ms, 99% {at[1]:.1f} ms")
     offered = total["offered"]
-    console.print(f"{offered} calls in {player.seconds:.1f} s, {player.auditor.messages} messages seen, "
-                  f"{player.day.proxies} proxies, {len(player.day.boxes)} boxes")
+    console.print(
+        f"{offered} calls in {player.seconds:.1f} s, {player.auditor.messages} messages seen, "
+        f"{player.day.proxies} proxies, {len(player.day.boxes)} boxes"
+    )
     answered = sum(1 for t in player.auditor.tries.values() if len(t.finals) == 1)
-    console.print(f"tries: {len(player.auditor.tries)}, with one final answer {answered}, "
-                  f"sent to a proxy that was killed {player.auditor.excused}")
+    console.print(
+        f"tries: {len(player.auditor.tries)}, with one final answer {answered}, "
+        f"sent to a proxy that was killed {player.auditor.excused}"
+    )
     by_rule = Counter(rule for _, rule, _ in breaks)
     for at, rule, text in breaks[:BREAKS_SHOWN]:
         console.print(f"BROKEN at {(at - player.began) / 1e6:.3f} s: {rule}: {text}", highlight=False, markup=False)
@@ -56,6 +72,8 @@
     left = leaks(player)
     for name, held in left.items():
         console.print(f"LEFT in {name}: {held}", highlight=False, markup=False)
-    console.print("left in the proxies: " + ("see above" if left else
-                  "0 calls, 0 transactions, 0 dialogs, 0 timers, 0 tasks, 0 descriptors"))
+    console.print(
+        "left in the proxies: "
+        + ("see above" if left else "0 calls, 0 transactions, 0 dialogs, 0 timers, 0 tasks, 0 descriptors")
+    )
     console.print(f"rule breaks: {len(breaks)}")
--- a/thorndale/config/lists.py
+++ b/thorndale/config/lists.py
@@ -19,6 +19,7 @@
 
 def reader(folder):
     """`read(path, columns)`: rows of that many texts, from a file beside the rules. Raises ListError."""
+
     def read(path, columns):
         full = os.path.join(folder, path)
         try:
@@ -38,6 +39,7 @@
             more = f" and {len(faults) - FAULTS_MOST} more" if len(faults) > FAULTS_MOST else ""
             raise ListError(f"{path}: {'; '.join(faults[:FAULTS_MOST])}{more}")
         return [tuple(cells) for _, cells in rows]
+
     return read
 
 
--- a/thorndale/config/load.py
+++ b/thorndale/config/load.py
@@ -65,8 +65,11 @@
 def matching(settings, path):
     """The RuleSet that the settings name. `path` is the settings file's. Raises ConfigError, each fault with its line
     and a caret."""
-    names = Names(tuple(t.name for t in settings.call_types), tuple(g.name for g in settings.trunk_groups),
-                  tuple(c.name for c in settings.clients))
+    names = Names(
+        tuple(t.name for t in settings.call_types),
+        tuple(g.name for g in settings.trunk_groups),
+        tuple(c.name for c in settings.clients),
+    )
     where, text = f"{path}: matching.text", settings.matching.text
     if settings.matching.file:
         where = os.path.join(os.path.dirname(str(path)), settings.matching.file)
@@ -219,8 +222,9 @@
             if name == site.name or name in site.next[:i]:
                 faults.append(f"sites[{n}].next[{i}]: {name!r} stands before it already; name each other site once")
     if settings.sites:
-        faults += [f"sites: trunk group {g!r} is in none; no call would be offered to it"
-                   for g in sorted(groups - set(taken))]
+        faults += [
+            f"sites: trunk group {g!r} is in none; no call would be offered to it" for g in sorted(groups - set(taken))
+        ]
     if bool(settings.matching.file) == bool(settings.matching.text):
         faults.append("matching: needs either a file or a text")
     quotas = [c.quota_per_s > 0 for c in settings.clients]
--- a/thorndale/config/plans.py
+++ b/thorndale/config/plans.py
@@ -74,13 +74,25 @@
         if room.name in servers:
             faults.append(f"servers[{n}].name: {room.name!r} stands before it already")
         servers[room.name] = Capacity(known[room.name], room.per_s, room.lines)
-    faults += [f"servers: what {name!r} can take is missing" for name in known
-               if name not in {room.name for room in given.servers}]
+    faults += [
+        f"servers: what {name!r} can take is missing"
+        for name in known
+        if name not in {room.name for room in given.servers}
+    ]
     for n, row in enumerate(given.offered):
         site = named(f"offered[{n}].site", row.site, sites, "site")
         if named(f"offered[{n}].call_type", row.call_type, types, "call type") and site:
             offered[types.index(row.call_type)][sites.index(row.site)] += row.per_s
     if faults:
         raise ConfigError(path, faults)
-    return settings, servers, Load(offered, [t.hold_ms / 1000 for t in settings.call_types],
-                                   [t.revenue for t in settings.call_types], site_order(settings), given.keep_own)
+    return (
+        settings,
+        servers,
+        Load(
+            offered,
+            [t.hold_ms / 1000 for t in settings.call_types],
+            [t.revenue for t in settings.call_types],
+            site_order(settings),
+            given.keep_own,
+        ),
+    )
--- a/thorndale/daemon/fleet.py
+++ b/thorndale/daemon/fleet.py
@@ -36,8 +36,17 @@
             fault.filename = fleet.listen
             raise
         self.border, self.arm_border, self.server_names = border, arm, [s.name for s in settings.servers]
-        self.share = Share(names, names.index(settings.name), self.server_names, seed, now_us(),
-                           seed >> 32 & 0xFFFFFFFF, int(time.time()) << 16, fleet.rights, fleet.words)
+        self.share = Share(
+            names,
+            names.index(settings.name),
+            self.server_names,
+            seed,
+            now_us(),
+            seed >> 32 & 0xFFFFFFFF,
+            int(time.time()) << 16,
+            fleet.rights,
+            fleet.words,
+        )
         self.members, self.module = self.share.members, getattr(border.door.module, "module", border.door.module)
         self.telling = False
         border.share = self
@@ -145,8 +154,15 @@
         members, by = self.members, {}
         for member, state in enumerate(members.state):
             by.setdefault(STATES[state], []).append(members.names[member])
-        self.say("info", "members", second=int(time.time()), alive=by.pop("alive", []), others=by,
-                 slow=members.slow, counts={**self.count, **members.count})
+        self.say(
+            "info",
+            "members",
+            second=int(time.time()),
+            alive=by.pop("alive", []),
+            others=by,
+            slow=members.slow,
+            counts={**self.count, **members.count},
+        )
         named = self.server_names
         if self.share.rights:
             held, counts = self.share.rights.view()
--- a/thorndale/daemon/keep.py
+++ b/thorndale/daemon/keep.py
@@ -14,7 +14,7 @@
     try:
         view = memoryview(data)
         while view:
-            view = view[os.write(fd, view):]
+            view = view[os.write(fd, view) :]
         os.fsync(fd)
     finally:
         os.close(fd)
--- a/thorndale/daemon/run.py
+++ b/thorndale/daemon/run.py
@@ -53,11 +53,13 @@
         await keeper.close()
         close_log()
         raise
-    border = Border(settings, rules, seed, listeners, ends.send, say, keeper.keep, offset,
-                    store.ledger if store else None, hide)
+    border = Border(
+        settings, rules, seed, listeners, ends.send, say, keeper.keep, offset, store.ledger if store else None, hide
+    )
     border.wall_us = lambda: time.time_ns() // 1000
     ends.core = border
     if store:
+
         def clock():
             border.now = now_us()
             return border.now
@@ -65,8 +67,14 @@
         store.attach(clock, ends.batch)
         await store.ready()
         store.start_retention(settings.records.keep_days, border.wall_us)
-    loop.set_exception_handler(lambda _, context: say("error", "fault in the program", fault=repr(
-        context.get("exception") or context.get("message")), where=repr(context.get("handle", ""))))
+    loop.set_exception_handler(
+        lambda _, context: say(
+            "error",
+            "fault in the program",
+            fault=repr(context.get("exception") or context.get("message")),
+            where=repr(context.get("handle", "")),
+        )
+    )
     try:
         ends.open(listeners)
         talk = _talk(settings, loop, seed, say, border, ends.arm)
@@ -106,10 +114,19 @@
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.remove_signal_handler(number)
         tasks = len(asyncio.all_tasks()) - 1
-        say("info", "stopped", left=left, tasks=tasks, descriptors=descriptors() - before, counts=dict(border.count),
-            book=border.book.told if border.book else {}, tcp=ends.tcp.count,
-            dropped=sum(u.dropped for u in ends.udp), refused_early=border.press.refused,
-            records=border.ledger.counts())
+        say(
+            "info",
+            "stopped",
+            left=left,
+            tasks=tasks,
+            descriptors=descriptors() - before,
+            counts=dict(border.count),
+            book=border.book.told if border.book else {},
+            tcp=ends.tcp.count,
+            dropped=sum(u.dropped for u in ends.udp),
+            refused_early=border.press.refused,
+            records=border.ledger.counts(),
+        )
         close_log()
 
 
@@ -170,8 +187,13 @@
         try:
             rules = await asyncio.get_running_loop().run_in_executor(None, matching, settings, path)
         except ConfigError as fault:
-            say("error", "rules refused, the old ones stay", file=fault.where, faults=fault.faults[:FAULTS_SAID],
-                count=len(fault.faults))
+            say(
+                "error",
+                "rules refused, the old ones stay",
+                file=fault.where,
+                faults=fault.faults[:FAULTS_SAID],
+                count=len(fault.faults),
+            )
             continue
         border.use(rules)
         say("info", "rules in force", rules=len(rules.rules), file=rules.name)
--- a/thorndale/emulator/day.py
+++ b/thorndale/emulator/day.py
@@ -67,8 +67,10 @@
     outside: tuple = (150.0, 150.0)
     policy: str = "sites"
     troubles: tuple = ()
-    types: tuple = (Type(0.94, 1_200_000, 9_000_000, 5_000_000, 1.0, 0.25),
-                    Type(0.06, 800_000, 6_000_000, 4_000_000, 6.0, 0.25))
+    types: tuple = (
+        Type(0.94, 1_200_000, 9_000_000, 5_000_000, 1.0, 0.25),
+        Type(0.06, 800_000, 6_000_000, 4_000_000, 6.0, 0.25),
+    )
     own_us: int = 6_000
     cross_us: int = 17_000
     list_us: tuple = (1_400_000, 4_700_000)  # from an event to the list's telling it, drawn per proxy
--- a/thorndale/emulator/draw.py
+++ b/thorndale/emulator/draw.py
@@ -12,8 +12,11 @@
     flap, some cut what they answer, some return cold into a burst, some are lost a second time."""
     chance = Random(seed)
     shape = chance.choice(("equal", "equal", "unequal", "three"))
-    split = {"equal": (servers // 2, servers - servers // 2), "unequal": (servers // 4, servers - servers // 4),
-             "three": (servers // 3, servers // 3, servers - 2 * (servers // 3))}[shape]
+    split = {
+        "equal": (servers // 2, servers - servers // 2),
+        "unequal": (servers // 4, servers - servers // 4),
+        "three": (servers // 3, servers // 3, servers - 2 * (servers // 3)),
+    }[shape]
     site, at = chance.randrange(len(split)), 20 * S
     back = int((45 + 15 * chance.random()) * S)
     told = chance.random() < 0.7
@@ -33,6 +36,14 @@
         troubles += [Trouble(back + 6 * S, kind, site, told=told), Trouble(back + 14 * S, again, site, told=told)]
     own = calls / len(split)
     outside = tuple(max(0.0, 0.97 * SERVER_RATE * n - own) for n in split)
-    day = Day(seed=seed, length_us=length_s * S, proxies=proxies, servers=split, calls=calls, outside=outside,
-              troubles=tuple(sorted(troubles)), largest=0.2 if chance.random() < 0.2 else 0.0)
+    day = Day(
+        seed=seed,
+        length_us=length_s * S,
+        proxies=proxies,
+        servers=split,
+        calls=calls,
+        outside=outside,
+        troubles=tuple(sorted(troubles)),
+        largest=0.2 if chance.random() < 0.2 else 0.0,
+    )
     return day, f"{shape} {case} {kind}" + ("" if told else " untold")
--- a/thorndale/emulator/fleet.py
+++ b/thorndale/emulator/fleet.py
@@ -43,8 +43,22 @@
 
 
 class Server:
-    __slots__ = ("number", "site", "processor", "lines", "used", "silent", "dead", "cuts", "errors", "standing",
-                 "state", "started", "size", "pool")
+    __slots__ = (
+        "number",
+        "site",
+        "processor",
+        "lines",
+        "used",
+        "silent",
+        "dead",
+        "cuts",
+        "errors",
+        "standing",
+        "state",
+        "started",
+        "size",
+        "pool",
+    )
 
     def __init__(self, number, site, lines, size=1.0, pool=None):
         self.number, self.site, self.lines, self.used, self.size = number, site, lines, 0, size
@@ -124,16 +138,31 @@
     def settings(self):
         day, types = self.day, self.day.types
         return {
-            "tick_us": 1_000, "instances": day.proxies, "type_target_us": [t.target_us for t in types],
-            "type_guard_us": [t.guard_us for t in types], "type_hold_us": [t.hold_us for t in types],
-            "type_revenue": [t.revenue for t in types], "type_late_part": [t.late_part for t in types],
+            "tick_us": 1_000,
+            "instances": day.proxies,
+            "type_target_us": [t.target_us for t in types],
+            "type_guard_us": [t.guard_us for t in types],
+            "type_hold_us": [t.hold_us for t in types],
+            "type_revenue": [t.revenue for t in types],
+            "type_late_part": [t.late_part for t in types],
             "type_pools": [sorted({s.pool for s in self.servers}) for _ in types],
-            "client_quota": [], "over_quota_part": 1.0,
-            "release_us": RELEASE_US, "resend_us": 0, "seizures_max": 5, "open_max": 60_000, "may_cancel": True,
-            "comeback_told": True, "comeback_max_us": 2 * S, "drain_grace_us": 500_000,
-            "start_capacity": WORK.cold_from, "warm_up_us": day.warm_up_us, "fall_multiple": WORK.fall_multiple,
-            "fall_us": WORK.fall_us, "list_asked": False,
-            "fleet_rights": "rights" in day.share}
+            "client_quota": [],
+            "over_quota_part": 1.0,
+            "release_us": RELEASE_US,
+            "resend_us": 0,
+            "seizures_max": 5,
+            "open_max": 60_000,
+            "may_cancel": True,
+            "comeback_told": True,
+            "comeback_max_us": 2 * S,
+            "drain_grace_us": 500_000,
+            "start_capacity": WORK.cold_from,
+            "warm_up_us": day.warm_up_us,
+            "fall_multiple": WORK.fall_multiple,
+            "fall_us": WORK.fall_us,
+            "list_asked": False,
+            "fleet_rights": "rights" in day.share,
+        }
 
     def sites(self):
         day, count = self.day, len(self.day.servers)
@@ -155,8 +184,9 @@
         if day.unequal:
             weight *= self.chance.choice((0.2, 0.5, 0.5, 1.0, 1.0, 1.0, 3.0))
         host = Host(core, weight, number % len(day.servers), number)
-        host.door.tell(io.Servers(tuple(io.Server(s.number, s.pool, s.state, s.started) for s in self.servers),
-                                  True, True))
+        host.door.tell(
+            io.Servers(tuple(io.Server(s.number, s.pool, s.state, s.started) for s in self.servers), True, True)
+        )
         host.until = int(day.start_us * self.chance.random())
         self._at(host.until, self._flush, host)
         return host
@@ -273,8 +303,12 @@
         if held.out != seizure:
             return
         held.out = None
-        self._tell(held, io.Ended(held.index, seizure[0], seizure[1], outcome, 0, 0, held.answered,
-                                  self._report(self.servers[seizure[1]])))
+        self._tell(
+            held,
+            io.Ended(
+                held.index, seizure[0], seizure[1], outcome, 0, 0, held.answered, self._report(self.servers[seizure[1]])
+            ),
+        )
 
     def _stand(self, held, seizure, server, started):
         if server.started != started or not server.up():
@@ -516,8 +550,11 @@
         self._after(S, self._capacity)
         each = WORK.setup_us + WORK.answer_us + WORK.release_us
         hold = sum(t.share * t.hold_us for t in self.day.types)
-        room = sum(min(s.processor.warmth(self.now) / s.processor.slowness / each, s.lines / hold) * S
-                   for s in self.servers if s.up() and not s.cuts)
+        room = sum(
+            min(s.processor.warmth(self.now) / s.processor.slowness / each, s.lines / hold) * S
+            for s in self.servers
+            if s.up() and not s.cuts
+        )
         window = self.now // WINDOW_US
         for kind in sorted(self.day.types, key=lambda t: -t.revenue):
             taken = min(room, self.rate * kind.share)
@@ -544,5 +581,17 @@
         if fallen:
             self.breaks["cold server pushed over"] = fallen
         own = [earned / max(1e-9, offered) for offered, earned in self.by_origin]
-        return Played(self.offered, self.earned, self.allowed, own, self.spilled, self.longest, self.breaks, self.calls,
-                      self.rejected, fallen, self.setups, sorted(self.waits))
+        return Played(
+            self.offered,
+            self.earned,
+            self.allowed,
+            own,
+            self.spilled,
+            self.longest,
+            self.breaks,
+            self.calls,
+            self.rejected,
+            fallen,
+            self.setups,
+            sorted(self.waits),
+        )
--- a/thorndale/emulator/gossip.py
+++ b/thorndale/emulator/gossip.py
@@ -84,8 +84,9 @@
 
     def views(self, among=None):
         """{proxy: set of those that it holds there}."""
-        return {k: frozenset(m.alive()) for k, m in enumerate(self.up)
-                if m is not None and (among is None or k in among)}
+        return {
+            k: frozenset(m.alive()) for k, m in enumerate(self.up) if m is not None and (among is None or k in among)
+        }
 
     def agreed(self, members, among=None):
         return set(self.views(among).values()) == {frozenset(members)}
--- a/thorndale/emulator/sharing.py
+++ b/thorndale/emulator/sharing.py
@@ -37,8 +37,20 @@
         self.fleet, self.links, self.chance = fleet, links, fleet.chance
         self.names = [f"proxy{n}" for n in range(len(fleet.hosts))]
         servers = [f"box{s.number}" for s in fleet.servers]
-        self.shares = [Share(self.names, n, servers, self.chance.getrandbits(64), 0, self.chance.getrandbits(32),
-                             WALL_S << 16, rights, words) for n in range(len(fleet.hosts))]
+        self.shares = [
+            Share(
+                self.names,
+                n,
+                servers,
+                self.chance.getrandbits(64),
+                0,
+                self.chance.getrandbits(32),
+                WALL_S << 16,
+                rights,
+                words,
+            )
+            for n in range(len(fleet.hosts))
+        ]
         self.due = [0] * len(self.shares)
         self.sent = self.bytes = 0
         self.liars = {}  # proxy: what it makes of a message it sends
--- a/thorndale/emulator/ways.py
+++ b/thorndale/emulator/ways.py
@@ -91,7 +91,7 @@
             state = (state * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
             other = (state >> 33) % (n + 1)
             order[n], order[other] = order[other], order[n]
-        own = set(order[place * SUBSET:(place + 1) * SUBSET])
+        own = set(order[place * SUBSET : (place + 1) * SUBSET])
         return sorted(super()._in_turn(pool), key=lambda s: s not in own)
 
 
@@ -109,8 +109,18 @@
         return sorted(self._drawn(self.by_pool.get(pool, ())), key=until)
 
 
-WAYS = {"": Proxy, "list": ListOrder, "even": Even, "two own": TwoOwn, "two told": TwoTold, "least told": LeastTold,
-        "drawn": Drawn, "dealt": Dealt, "subset": Subset, "oracle": Queues}
+WAYS = {
+    "": Proxy,
+    "list": ListOrder,
+    "even": Even,
+    "two own": TwoOwn,
+    "two told": TwoTold,
+    "least told": LeastTold,
+    "drawn": Drawn,
+    "dealt": Dealt,
+    "subset": Subset,
+    "oracle": Queues,
+}
 
 
 def module(way, seed, settings, number, servers):
--- a/thorndale/fleet/rights.py
+++ b/thorndale/fleet/rights.py
@@ -114,6 +114,7 @@
         """`ids`: the members' numbers on the wire; `servers`: the servers', at their own index; `there(member)`."""
         self.ids, self.own, self.born, self.there, self.began = ids, own, born, there, now
         self.servers, self.index = servers, {wire: n for n, wire in enumerate(servers)}
+
         def drawn(server, member):
             return xxh64_intdigest(server.to_bytes(4, "big") + ids[member].to_bytes(4, "big"))
 
@@ -130,8 +131,9 @@
     def steward(self, now, server):
         """Who hands out the rights to a server, as far as is known here: the first in its order who is there and
         answers; who is silent is passed over long before the members hold it dead."""
-        return next((m for m in self.order[server] if m == self.own or self.there(m) and not self._silent(now, m)),
-                    self.own)
+        return next(
+            (m for m in self.order[server] if m == self.own or self.there(m) and not self._silent(now, m)), self.own
+        )
 
     def keeps(self, server):
         """Whether the floor of a server belongs to this member: by the list alone, whoever is there."""
@@ -217,7 +219,7 @@
             seen = (gram.born, -1, -1)
         if gram.number <= seen[place]:
             return False
-        self.heard_from[sender] = (*seen[:place], gram.number, *seen[place + 1:])
+        self.heard_from[sender] = (*seen[:place], gram.number, *seen[place + 1 :])
         return True
 
     def _units(self, now, gram, sender):
@@ -289,7 +291,7 @@
         for steward, rows in by.items():
             for n in range(0, len(rows), ROWS_MOST):
                 self.number += 1
-                self._send(now, steward, UNITS, self.number, rows[n:n + ROWS_MOST])
+                self._send(now, steward, UNITS, self.number, rows[n : n + ROWS_MOST])
         self._hellos(now)
         for server in list(self.pools):
             self.pools[server].expire(now)
@@ -301,7 +303,7 @@
         wanted = set()
         for server, order in enumerate(self.order):
             steward = self.steward(now, server)
-            wanted.update(m for m in order[:order.index(steward) + 1] if m != self.own and self.there(m))
+            wanted.update(m for m in order[: order.index(steward) + 1] if m != self.own and self.there(m))
         for member in sorted(wanted):
             link = self.links.get(member, Link())
             if self._deaf(now, member) and now - link.hello >= HELLO_US:
--- a/thorndale/fleet/share.py
+++ b/thorndale/fleet/share.py
@@ -50,8 +50,11 @@
         """What the module holds of the servers of these events, before it is told them: to be given to `met`."""
         if self.words is None:
             return []
-        return [(e, module.score[e.server]) for e in events
-                if type(e) in (io.Stood, io.Ended) and e.server < len(module.score)]
+        return [
+            (e, module.score[e.server])
+            for e in events
+            if type(e) in (io.Stood, io.Ended) and e.server < len(module.score)
+        ]
 
     def met(self, now, before, module):
         """The module has been told those events: what it holds a loss is one, and what it does not may be an answer."""
@@ -124,5 +127,14 @@
 
     def _gram(self, kind, number, about, rows=(), words=()):
         known, own = self.members, self.own
-        return wire.Gram(wire.VERSION, kind, known.ids[own], known.born[own], known.incarnation[own], number, about,
-                         rows=list(rows), words=list(words))
+        return wire.Gram(
+            wire.VERSION,
+            kind,
+            known.ids[own],
+            known.born[own],
+            known.incarnation[own],
+            number,
+            about,
+            rows=list(rows),
+            words=list(words),
+        )
--- a/thorndale/fleet/view.py
+++ b/thorndale/fleet/view.py
@@ -48,8 +48,10 @@
     if not isinstance(alive, list) or not isinstance(others, dict):
         return None
     rows = [("alive", alive), *others.items()]
-    if not all(isinstance(state, str) and isinstance(names, list) and all(isinstance(n, str) for n in names)
-               for state, names in rows):
+    if not all(
+        isinstance(state, str) and isinstance(names, list) and all(isinstance(n, str) for n in names)
+        for state, names in rows
+    ):
         return None
     return {name: state for state, names in rows for name in names}
 
--- a/thorndale/fleet/words.py
+++ b/thorndale/fleet/words.py
@@ -160,8 +160,9 @@
 
     def _odds(self, now, known):
         since = max(known.own_at, known.good_at)
-        return sum(self._weight(now, teller) * 0.5 ** ((now - at) / HALF_US)
-                   for teller, at in known.lost.items() if at > since)
+        return sum(
+            self._weight(now, teller) * 0.5 ** ((now - at) / HALF_US) for teller, at in known.lost.items() if at > since
+        )
 
     # ---- what falls due ----
 
--- a/thorndale/match/check.py
+++ b/thorndale/match/check.py
@@ -54,8 +54,11 @@
         if given is not None and wanted is not None and given != wanted:
             self._unlike(node, wanted, given, what)
         if len(self.faults) == before and node.bound > self.steps_most:
-            self.fault(node, f"may take {node.bound} steps, {self.steps_most} are allowed; use fewer "
-                             "texts from headers or fewer tests")
+            self.fault(
+                node,
+                f"may take {node.bound} steps, {self.steps_most} are allowed; use fewer "
+                "texts from headers or fewer tests",
+            )
         return len(self.faults) == before
 
     def _unlike(self, node, wanted, given, what):
@@ -114,8 +117,11 @@
 
     def _unknown(self, node, name, known, what):
         near = nearest(name, known)
-        self.fault(node, f"unknown {what} {name!r}" + (f"; {near!r} is meant?" if near else f"; known are "
-                   f"{', '.join(sorted(known)[:24])}"))
+        self.fault(
+            node,
+            f"unknown {what} {name!r}"
+            + (f"; {near!r} is meant?" if near else f"; known are {', '.join(sorted(known)[:24])}"),
+        )
 
     def _part(self, node):
         given = self._type(node.args[0])
@@ -140,8 +146,9 @@
             self._unknown(node, node.value, list(FUNCTIONS), "function")
             return None
         if len(node.args) != len(function.args):
-            self.fault(node, f"{node.value} takes {len(function.args)} values, has {len(node.args)}; as in "
-                             f"{function.example}")
+            self.fault(
+                node, f"{node.value} takes {len(function.args)} values, has {len(node.args)}; as in {function.example}"
+            )
             return None
         sound, costs = True, []
         for n, (arg, wanted) in enumerate(zip(node.args, function.args, strict=True)):
--- a/thorndale/match/compile.py
+++ b/thorndale/match/compile.py
@@ -10,9 +10,15 @@
 from thorndale.match.walk import constant, folded
 
 SHARE_FROM = 4  # steps of a part from which keeping its value is dearer than working it out again
-INLINE = {"prefix": "{0}.startswith({1})", "suffix": "{0}.endswith({1})", "contains": "({1} in {0})",
-          "length": "float(len({0}))", "count": "float(len({0}))", "lower": "{0}.lower()",
-          "present": "({0} is not None)"}
+INLINE = {
+    "prefix": "{0}.startswith({1})",
+    "suffix": "{0}.endswith({1})",
+    "contains": "({1} in {0})",
+    "length": "float(len({0}))",
+    "count": "float(len({0}))",
+    "lower": "{0}.lower()",
+    "present": "({0} is not None)",
+}
 
 
 class Compiler:
@@ -52,8 +58,10 @@
         if slot is None:
             text = f"def {name}(f):\n return {code}\n"
         else:
-            text = (f"def {name}(f):\n s = f.slots\n v = s.get({slot}, s)\n if v is s:\n"
-                    f"  v = s[{slot}] = {code}\n return v\n")
+            text = (
+                f"def {name}(f):\n s = f.slots\n v = s.get({slot}, s)\n if v is s:\n"
+                f"  v = s[{slot}] = {code}\n return v\n"
+            )
         exec(compile(text, "<rules>", "exec"), self.space)  # noqa: S102 - made above from kinds and numbered names
         return self.space[name]
 
@@ -92,8 +100,9 @@
             return INLINE[node.value].format(*(self._code(a) for a in node.args))
         if function.make:
             values = prepared(function, [a.value if a.kind == "literal" else None for a in node.args])
-            codes = [self._give(values[n]) if n in function.literals else self._code(a)
-                     for n, a in enumerate(node.args)]
+            codes = [
+                self._give(values[n]) if n in function.literals else self._code(a) for n, a in enumerate(node.args)
+            ]
         else:
             codes = [self._code(a) for a in node.args]
         return f"{self._give(function.run, 'fun')}(f, {', '.join(codes)})"
--- a/thorndale/match/deep.py
+++ b/thorndale/match/deep.py
@@ -80,8 +80,12 @@
             return self.term(node.args[0])[0]
         if node.value in ("prefix", "suffix", "contains", "length"):
             args = [self.term(a) for a in node.args]
-            return {"prefix": lambda a, b: z3.PrefixOf(b, a), "suffix": lambda a, b: z3.SuffixOf(b, a),
-                    "contains": z3.Contains, "length": lambda a: z3.ToReal(z3.Length(a))}[node.value](*args)
+            return {
+                "prefix": lambda a, b: z3.PrefixOf(b, a),
+                "suffix": lambda a, b: z3.SuffixOf(b, a),
+                "contains": z3.Contains,
+                "length": lambda a: z3.ToReal(z3.Length(a)),
+            }[node.value](*args)
         return self._opaque(node)
 
     def _choice(self, node):
@@ -98,8 +102,14 @@
 
     def _compare(self, node):
         one, two = (self.term(a) for a in node.args)
-        return {"==": lambda: one == two, "!=": lambda: one != two, "<": lambda: one < two, ">": lambda: one > two,
-                "<=": lambda: one <= two, ">=": lambda: one >= two}[node.value]()
+        return {
+            "==": lambda: one == two,
+            "!=": lambda: one != two,
+            "<": lambda: one < two,
+            ">": lambda: one > two,
+            "<=": lambda: one <= two,
+            ">=": lambda: one >= two,
+        }[node.value]()
 
     def _in(self, node):
         left = self.term(node.args[0])
@@ -117,8 +127,11 @@
         found = self.term(node.args[-1])
         for arg in reversed(node.args[:-1]):
             present, value = self.term(arg)
-            found = (z3.Or(present, found[0]), z3.If(present, value, found[1])) if isinstance(found, tuple) else \
-                z3.If(present, value, found)
+            found = (
+                (z3.Or(present, found[0]), z3.If(present, value, found[1]))
+                if isinstance(found, tuple)
+                else z3.If(present, value, found)
+            )
         return found
 
     def _sum(self, node):
@@ -155,8 +168,12 @@
         encoder = self.encoder
         digits = z3.Range("0", "9")
         plain = z3.Concat(z3.Option(z3.Re("+")), z3.Plus(digits))
-        self.usual = [z3.InRe(encoder.number, plain), z3.InRe(encoder.caller, plain), z3.Length(encoder.number) <= 16,
-                      z3.Length(encoder.caller) <= 16]
+        self.usual = [
+            z3.InRe(encoder.number, plain),
+            z3.InRe(encoder.caller, plain),
+            z3.Length(encoder.number) <= 16,
+            z3.Length(encoder.caller) <= 16,
+        ]
 
     def ask(self, terms, usual=False):
         """'sat' with a call, 'unsat', or 'unknown'."""
@@ -172,16 +189,26 @@
     def _call(self, model):
         def text(term):
             return model.eval(term, model_completion=True).as_string()
+
         encoder = self.encoder
-        headers = {name: text(value) for name, (present, value) in encoder.headers.items()
-                   if z3.is_true(model.eval(present, model_completion=True))}
+        headers = {
+            name: text(value)
+            for name, (present, value) in encoder.headers.items()
+            if z3.is_true(model.eval(present, model_completion=True))
+        }
         return {"number": text(encoder.number), "caller": text(encoder.caller), "headers": headers}
 
     def sorted_by(self, call):
         """The name of the rule that really sorts the call, 'default' or ''; None where it is no call."""
-        lines = [f"INVITE sip:{call['number']}@127.0.0.1 SIP/2.0", "Via: SIP/2.0/UDP 127.0.0.1;branch=z9hG4bKx",
-                 f"From: <sip:{call['caller']}@127.0.0.1>;tag=x", "To: <sip:x@127.0.0.1>", "Call-ID: x",
-                 "CSeq: 1 INVITE", *(f"{name}: {value}" for name, value in call["headers"].items())]
+        lines = [
+            f"INVITE sip:{call['number']}@127.0.0.1 SIP/2.0",
+            "Via: SIP/2.0/UDP 127.0.0.1;branch=z9hG4bKx",
+            f"From: <sip:{call['caller']}@127.0.0.1>;tag=x",
+            "To: <sip:x@127.0.0.1>",
+            "Call-ID: x",
+            "CSeq: 1 INVITE",
+            *(f"{name}: {value}" for name, value in call["headers"].items()),
+        ]
         try:
             message = m.parse("\r\n".join(lines).encode("utf-8", "surrogateescape") + b"\r\n\r\n")
             m.check(message)
@@ -198,9 +225,10 @@
             if answer == "unsat":
                 found.append(Finding("never", (rule.name,), "its tests contradict each other"))
                 continue
-            near = sorted((e for e in range(n) if self.words[e] & self.words[n] or not self.words[e]
-                           or not self.words[n]),
-                          key=lambda e: -len(self.words[e] & self.words[n]))[:EARLIER_MOST]
+            near = sorted(
+                (e for e in range(n) if self.words[e] & self.words[n] or not self.words[e] or not self.words[n]),
+                key=lambda e: -len(self.words[e] & self.words[n]),
+            )[:EARLIER_MOST]
             before = [z3.Not(self.terms[e]) for e in near]
             answer, call = self.ask([self.terms[n], *before])
             if answer == "unsat":
@@ -247,5 +275,3 @@
 
     def all(self):
         return [*self.never(), *self.none(), *self.both()]
-
-
--- a/thorndale/match/faults.py
+++ b/thorndale/match/faults.py
@@ -26,6 +26,5 @@
             if 0 < fault.line <= len(lines):
                 line = lines[fault.line - 1]
                 shift = max(0, fault.column - 60)
-                out += [f"    {line[shift:shift + 100]}", "    " + " " * (fault.column - 1 - shift) + "^"]
+                out += [f"    {line[shift : shift + 100]}", "    " + " " * (fault.column - 1 - shift) + "^"]
         return "\n".join(out)
-
--- a/thorndale/match/fmt.py
+++ b/thorndale/match/fmt.py
@@ -71,7 +71,7 @@
     lines = [head]
     for part in parts:
         upto = [n for n in left if n[0] <= part.meta.end_line]
-        left = left[len(upto):]
+        left = left[len(upto) :]
         beside = upto.pop() if upto and upto[-1][0] == part.meta.end_line and not upto[-1][2] else None
         lines += [f"  {text}" for _, text, _ in upto]
         lines.append(f"  {_part(part)}" + (f"  {beside[1]}" if beside else ""))
@@ -86,8 +86,9 @@
     if kind == "priority":
         return f"priority {kids[0]}"
     if kind == "share":
-        weights = ", ".join(str(w.children[0].children[0]) + (f": {w.children[1]}" if len(w.children) > 1 else "")
-                            for w in kids[1:])
+        weights = ", ".join(
+            str(w.children[0].children[0]) + (f": {w.children[1]}" if len(w.children) > 1 else "") for w in kids[1:]
+        )
         return f"share by {_expr(kids[0])} [{weights}]"
     if kind == "header":
         return f"header {kids[0]} = {_expr(kids[1])}"
--- a/thorndale/match/forms.py
+++ b/thorndale/match/forms.py
@@ -105,7 +105,7 @@
             sign = self.text[self.at]
             self.at += 1
             some = self.escaped() if sign == "\\" else frozenset(sign)
-            if self.peek() == "-" and self.text[self.at + 1:self.at + 2] not in ("", "]") and len(some) == 1:
+            if self.peek() == "-" and self.text[self.at + 1 : self.at + 2] not in ("", "]") and len(some) == 1:
                 self.at += 1
                 end = self.text[self.at]
                 self.at += 1
@@ -156,8 +156,12 @@
         for states in order:
             row = []
             for c in picks:
-                reached = closed(to for s in states for named, negated, to in parser.edges[s]
-                                 if named is None or (c in named) != negated)
+                reached = closed(
+                    to
+                    for s in states
+                    for named, negated, to in parser.edges[s]
+                    if named is None or (c in named) != negated
+                )
                 if reached not in numbers:
                     if len(numbers) >= STATES_MOST:
                         parser.fail(f"needs more than {STATES_MOST} states; write it simpler")
--- a/thorndale/match/parse.py
+++ b/thorndale/match/parse.py
@@ -16,18 +16,33 @@
 MAX_SOURCE = 8 << 20  # characters of a rule set: some 20,000 rules
 DEPTH_MOST = 60  # brackets, operators and the like inside each other
 FACTORS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
-SAID = {"RBRACE": "}", "LBRACE": "{", "RPAR": ")", "LPAR": "(", "RSQB": "]", "LSQB": "[", "EQUAL": "=", "COLON": ":",
-        "COMMA": ",", "NAME": "a name", "TEXT": "a text", "NUMBER": "a number", "COMPARE": "a comparison", "ADD": "+",
-        "SPAN": "a time span", "$END": "the end"}
-
+SAID = {
+    "RBRACE": "}",
+    "LBRACE": "{",
+    "RPAR": ")",
+    "LPAR": "(",
+    "RSQB": "]",
+    "LSQB": "[",
+    "EQUAL": "=",
+    "COLON": ":",
+    "COMMA": ",",
+    "NAME": "a name",
+    "TEXT": "a text",
+    "NUMBER": "a number",
+    "COMPARE": "a comparison",
+    "ADD": "+",
+    "SPAN": "a time span",
+    "$END": "the end",
+}
 
 
 def built():
     """(function that builds the parser, seal): 80 ms. The seal names the grammar and the library that built it."""
     grammar = resources.files("thorndale.match").joinpath("grammar.lark").read_text(encoding="utf-8")
     seal = xxh3_64_digest(f"{version} {grammar}".encode())
-    return lambda: Lark(grammar, parser="lalr", start=["start", "expr"], propagate_positions=True,
-                        maybe_placeholders=False), seal
+    return lambda: Lark(
+        grammar, parser="lalr", start=["start", "expr"], propagate_positions=True, maybe_placeholders=False
+    ), seal
 
 
 @cache
@@ -37,7 +52,7 @@
     with contextlib.suppress(OSError):
         kept = resources.files("thorndale.match").joinpath("grammar.tables").read_bytes()
         if kept.startswith(seal):
-            return Lark.load(BytesIO(kept[len(seal):]))
+            return Lark.load(BytesIO(kept[len(seal) :]))
     return build()
 
 
@@ -93,7 +108,7 @@
         return Node("literal", (), float(kids[0]), line, column)
     if kind == "span":
         digits = kids[0].rstrip("msh")
-        made = Node("literal", (), float(digits) * FACTORS[kids[0][len(digits):]], line, column)
+        made = Node("literal", (), float(digits) * FACTORS[kids[0][len(digits) :]], line, column)
         made.type = "span"
         return made
     if kind in ("yes", "no"):
--- a/thorndale/match/rules.py
+++ b/thorndale/match/rules.py
@@ -53,8 +53,22 @@
 class Rule:
     """One rule as it was read. `shares` are (group, weight) with `by`; `headers` (name, tree)."""
 
-    __slots__ = ("name", "line", "column", "priority", "when", "call_type", "group", "by", "shares", "client", "key",
-                 "priority_class", "headers", "order")
+    __slots__ = (
+        "name",
+        "line",
+        "column",
+        "priority",
+        "when",
+        "call_type",
+        "group",
+        "by",
+        "shares",
+        "client",
+        "key",
+        "priority_class",
+        "headers",
+        "order",
+    )
 
     def __init__(self, name, line, column):
         self.name, self.line, self.column, self.priority, self.order = name, line, column, 0, 0
@@ -181,6 +195,7 @@
 
 def parse_names():
     from thorndale.match.functions import FUNCTIONS, NAMES
+
     return {*FUNCTIONS, *NAMES}
 
 
@@ -258,8 +273,13 @@
         for value, literal in ((args[0], args[1]), (args[1], args[0])):
             if literal.kind == "literal" and isinstance(literal.value, str) and value.kind != "literal":
                 return "is", value, (literal.value,)
-    elif kind == "in" and condition.value is None and args[0].kind != "literal" and args[1].kind == "list" and all(
-            a.kind == "literal" for a in args[1].args):
+    elif (
+        kind == "in"
+        and condition.value is None
+        and args[0].kind != "literal"
+        and args[1].kind == "list"
+        and all(a.kind == "literal" for a in args[1].args)
+    ):
         return "is", args[0], tuple(dict.fromkeys(a.value for a in args[1].args))
     elif kind == "call" and condition.value == "prefix" and args[0].kind != "literal" and args[1].kind == "literal":
         return "prefix", args[0], (args[1].value,)
@@ -330,14 +350,19 @@
 
         def run(facts):
             group = shared(by(facts), rule.shares, total) if by else rule.group
-            return fixed._replace(group=group, key=key(facts) if key else "",
-                                  headers=tuple((name, value(facts)) for name, value in headers))
+            return fixed._replace(
+                group=group,
+                key=key(facts) if key else "",
+                headers=tuple((name, value(facts)) for name, value in headers),
+            )
+
         return run
 
     def bound(self):
         """Steps that no call can pass: every part of every rule once."""
         return sum(tree.bound for rule in self.rules for tree in rule.trees()) + (
-            sum(tree.bound for tree in self.default.trees()) if self.default else 0)
+            sum(tree.bound for tree in self.default.trees()) if self.default else 0
+        )
 
     def candidates(self, facts):
         """Orders of the rules whose looked-up test holds, and of those without one, smallest first."""
@@ -378,8 +403,11 @@
         tried = []
         for rule in self.rules:
             parts = []
-            walker = Walker(self.scope, facts, lambda node, value, parts=parts: parts.append(
-                (node.line, node.column, node.kind, value)))
+            walker = Walker(
+                self.scope,
+                facts,
+                lambda node, value, parts=parts: parts.append((node.line, node.column, node.kind, value)),
+            )
             fits = walker.value(rule.when)
             tried.append((rule, fits, parts))
             if fits:
@@ -401,8 +429,15 @@
     """The outcome of a rule by the plain interpreter."""
     walker = Walker(scope, facts)
     group = shared(walker.value(rule.by), rule.shares, sum(w for _, w in rule.shares)) if rule.by else rule.group
-    return Outcome(rule.name, rule.call_type, group, rule.client, walker.value(rule.key) if rule.key else "",
-                   rule.priority_class, tuple((name, walker.value(tree)) for name, tree in rule.headers))
+    return Outcome(
+        rule.name,
+        rule.call_type,
+        group,
+        rule.client,
+        walker.value(rule.key) if rule.key else "",
+        rule.priority_class,
+        tuple((name, walker.value(tree)) for name, tree in rule.headers),
+    )
 
 
 def plain(rules, facts):
--- a/thorndale/match/walk.py
+++ b/thorndale/match/walk.py
@@ -6,8 +6,14 @@
 from thorndale.match.functions import FUNCTIONS, NAMES, PARTS, prepared, units
 from thorndale.match.tree import Node
 
-COMPARE = {"==": operator.eq, "!=": operator.ne, "<": operator.lt, ">": operator.gt, "<=": operator.le,
-           ">=": operator.ge}
+COMPARE = {
+    "==": operator.eq,
+    "!=": operator.ne,
+    "<": operator.lt,
+    ">": operator.gt,
+    "<=": operator.le,
+    ">=": operator.ge,
+}
 
 
 def size(value):
@@ -56,8 +62,10 @@
         values = [self.value(a) for a in node.args]
         if node.value in ("header", "headers"):
             fields = self.facts.invite.fields
-            self.steps += min(function.cost([0]), len(fields) + units(sum(
-                len(v) for k, _, v in fields if k == node.args[0].value.lower())))
+            self.steps += min(
+                function.cost([0]),
+                len(fields) + units(sum(len(v) for k, _, v in fields if k == node.args[0].value.lower())),
+            )
         else:
             self.steps += function.cost([size(v) for v in values])
         return function.run(self.facts, *(prepared(function, values) if function.make else values))
@@ -113,8 +121,12 @@
 
 def constant(node):
     """Whether the value is the same for every message."""
-    return all(n.kind != "name" and not (n.kind == "in" and n.value) and not (
-        n.kind == "call" and n.value in ("header", "headers", "time", "weekday", "longest")) for n in node)
+    return all(
+        n.kind != "name"
+        and not (n.kind == "in" and n.value)
+        and not (n.kind == "call" and n.value in ("header", "headers", "time", "weekday", "longest"))
+        for n in node
+    )
 
 
 def folded(node, scope):
--- a/thorndale/net/tcp.py
+++ b/thorndale/net/tcp.py
@@ -85,7 +85,7 @@
             return False
         if self.established and not self.queue:
             try:
-                data = data[self.sock.send(data):]
+                data = data[self.sock.send(data) :]
             except (BlockingIOError, InterruptedError):
                 pass
             except OSError:
@@ -231,8 +231,15 @@
         self.on_open, self.on_full, self.fault = on_open, on_full, ""
         self.listeners, self.tasks, self.by_hop = [], {}, {}
         self.serial, self.closing = 0, False
-        self.count = {"accepted": 0, "over the bound": 0, "cut, not reading": 0, "cut, partial": 0,
-                      "cut, silent": 0, "cut, unreadable": 0, "given up for room": 0}
+        self.count = {
+            "accepted": 0,
+            "over the bound": 0,
+            "cut, not reading": 0,
+            "cut, partial": 0,
+            "cut, silent": 0,
+            "cut, unreadable": 0,
+            "given up for room": 0,
+        }
         self.acceptors = []
 
     def listen(self, host, port):
--- a/thorndale/node/follow.py
+++ b/thorndale/node/follow.py
@@ -15,8 +15,15 @@
     def __init__(self, loop, bounds, address, last, on_event, on_batch, say):
         self.loop, self.address, self.feed = loop, address, feed.Feed(last)
         self.on_event, self.on_batch, self.say = on_event, on_batch, say
-        self.tcp = Tcp(loop, bounds, self._frame, self._lost, on_batch,
-                       Stream(feed.Framer, (PlatformError,), 4096, "unreached", "spoilt"), self._opened)
+        self.tcp = Tcp(
+            loop,
+            bounds,
+            self._frame,
+            self._lost,
+            on_batch,
+            Stream(feed.Framer, (PlatformError,), 4096, "unreached", "spoilt"),
+            self._opened,
+        )
         self.hop, self.wait, self.again, self.silence = None, AGAIN_S, None, None
         self._connect()
 
--- a/thorndale/node/log.py
+++ b/thorndale/node/log.py
@@ -23,8 +23,9 @@
         self.kinds[event] = left - 1, now, 0
         if held:
             fields["left_out"] = held
-        line = json.dumps({"at": round(now, 3), "level": level, "proxy": self.name, "event": event, **fields},
-                          default=str)
+        line = json.dumps(
+            {"at": round(now, 3), "level": level, "proxy": self.name, "event": event, **fields}, default=str
+        )
         try:
             self.stream.write(line + "\n")
             self.stream.flush()
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -57,19 +57,40 @@
         servers = config.sockets // SERVERS_PART
         connect_ms = config.connect_us / 1000
         faults = (PlatformError, *central.FAULTS)
-        self.callers = Tcp(loop, Bounds(config.sockets - servers - OWN, connect_ms), self._message, self._left,
-                           self.batch, Stream(isup.Framer, faults, CALLER_READ), self._came, self._for_room)
-        self.servers = Tcp(loop, Bounds(servers, connect_ms, partial_ms=SERVER_PARTIAL_MS), self._signal, self._lost,
-                           self.batch, Stream(central.Framer, faults, SERVER_READ, "unreached", "spoilt"),
-                           self._opened)
+        self.callers = Tcp(
+            loop,
+            Bounds(config.sockets - servers - OWN, connect_ms),
+            self._message,
+            self._left,
+            self.batch,
+            Stream(isup.Framer, faults, CALLER_READ),
+            self._came,
+            self._for_room,
+        )
+        self.servers = Tcp(
+            loop,
+            Bounds(servers, connect_ms, partial_ms=SERVER_PARTIAL_MS),
+            self._signal,
+            self._lost,
+            self.batch,
+            Stream(central.Framer, faults, SERVER_READ, "unreached", "spoilt"),
+            self._opened,
+        )
         self.alarm = Alarm(loop, self.core.timers, self._due)
         self.feed, self.late_us, self.handles = None, 0, {}
 
     def open(self):
         """Raises OSError where the address cannot be had."""
         self.core.start(now_us())
-        self.feed = Follower(self.loop, Bounds(4, self.config.connect_us / 1000), self.config.feed,
-                             self.config.known[0], self._event, self.batch, self.say)
+        self.feed = Follower(
+            self.loop,
+            Bounds(4, self.config.connect_us / 1000),
+            self.config.feed,
+            self.config.known[0],
+            self._event,
+            self.batch,
+            self.say,
+        )
         self.callers.listen(*self.config.listen)
         self.batch()
         self._sweep()
@@ -174,9 +195,17 @@
         now = now_us()
         for row in counted(now, self.core):
             self.say("info", "server", **row)
-        self.say("info", "counts", calls=self.core.count, callers=self.callers.count, feed=self.feed.feed.count,
-                 open=self.core.being_set_up(), connections=[len(self.callers.by_hop), len(self.servers.by_hop)],
-                 late_ms=self.late_us // 1000, fault=self.callers.fault)
+        self.say(
+            "info",
+            "counts",
+            calls=self.core.count,
+            callers=self.callers.count,
+            feed=self.feed.feed.count,
+            open=self.core.being_set_up(),
+            connections=[len(self.callers.by_hop), len(self.servers.by_hop)],
+            late_ms=self.late_us // 1000,
+            fault=self.callers.fault,
+        )
         self.late_us = 0
         self.handles["tell"] = self.loop.call_later(TOLD_S, self._tell)
 
@@ -217,8 +246,14 @@
     """Runs a border proxy until it is told to stop. Raises StartError."""
     loop = asyncio.get_running_loop()
     say = Say(config.name)
-    loop.set_exception_handler(lambda _, context: say("error", "fault in the program", fault=repr(
-        context.get("exception") or context.get("message")), where=_where(context.get("exception"))))
+    loop.set_exception_handler(
+        lambda _, context: say(
+            "error",
+            "fault in the program",
+            fault=repr(context.get("exception") or context.get("message")),
+            where=_where(context.get("exception")),
+        )
+    )
     shell = Shell(loop, path, config, say)
     told = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, shell.reload)
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -228,8 +228,18 @@
         held.index = self.door.number(held)
         self.calls[call] = conn.open[call] = held
         self._note("set-ups")
-        self.door.tell(io.Call(held.index, setup.call_type, 0, int(setup.number, 16), setup.within_us, setup.pool,
-                               setup.redial, setup.again))
+        self.door.tell(
+            io.Call(
+                held.index,
+                setup.call_type,
+                0,
+                int(setup.number, 16),
+                setup.within_us,
+                setup.pool,
+                setup.redial,
+                setup.again,
+            )
+        )
         self._release_kept(now)
 
     def _stands(self, now, conn, call, setup, kind):
@@ -311,8 +321,14 @@
         peer is not those callers', so it goes on to the next until it is heard. First by one that has heard others,
         then by its own, then by the one with the latest set-up: an idle one may be closed before what comes is read."""
         conns = [c for c in self.conns.values() if (c.good or c is release.own) and c.key not in release.by]
-        conns.sort(key=lambda c: (c.hears, c is release.own and (bool(c.open) or now - c.called_at <= FRESH_US),
-                                  bool(c.open), c.called_at))
+        conns.sort(
+            key=lambda c: (
+                c.hears,
+                c is release.own and (bool(c.open) or now - c.called_at <= FRESH_US),
+                bool(c.open),
+                c.called_at,
+            )
+        )
         while conns:
             conn = conns.pop()
             if self.send.to_caller(conn.key, isup.release(release.call, release.cause)):
@@ -360,8 +376,9 @@
     def _invite(self, now, seizure):
         """The moment of a set-up: what comes before it has sent nothing, what comes after may have run."""
         call = seizure.call
-        if self.send.to_server(seizure.link.key, sip.invite(call.text, 1, call.number, call.kind.name,
-                                                            seizure.until - now, call.body)):
+        if self.send.to_server(
+            seizure.link.key, sip.invite(call.text, 1, call.number, call.kind.name, seizure.until - now, call.body)
+        ):
             seizure.sent_at = now
             seizure.central.count("sent")
 
--- a/thorndale/platform/central.py
+++ b/thorndale/platform/central.py
@@ -78,13 +78,16 @@
         if isfinite(figure) and 0 <= figure < 1e9:
             found[names.get(name, name)] = figure
     wait = found.get("latency_ms")
-    return io.Report(found.get("idle"), found.get("circuits"), None if wait is None else round(wait * 1000),
-                     found.get("max_rate"))
+    return io.Report(
+        found.get("idle"), found.get("circuits"), None if wait is None else round(wait * 1000), found.get("max_rate")
+    )
 
 
 def _request(method, number, call, cseq, extra="", body=b""):
-    return (f"{method} sip:{number}@net SIP/2.0\r\nVia: SIP/2.0/TCP thorndale\r\nCall-ID: {call}\r\n"
-            f"CSeq: {cseq} {method}\r\n{extra}Content-Length: {len(body)}\r\n\r\n").encode() + body
+    return (
+        f"{method} sip:{number}@net SIP/2.0\r\nVia: SIP/2.0/TCP thorndale\r\nCall-ID: {call}\r\n"
+        f"CSeq: {cseq} {method}\r\n{extra}Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
 
 
 def invite(call, cseq, number, call_type, within_us, body):
@@ -110,8 +113,10 @@
 
 def heard(signal):
     """200 to a BYE."""
-    return (f"SIP/2.0 200 OK\r\nVia: SIP/2.0/TCP thorndale\r\nCall-ID: {signal.call}\r\n"
-            f"CSeq: {signal.number} {signal.method}\r\nContent-Length: 0\r\n\r\n").encode()
+    return (
+        f"SIP/2.0 200 OK\r\nVia: SIP/2.0/TCP thorndale\r\nCall-ID: {signal.call}\r\n"
+        f"CSeq: {signal.number} {signal.method}\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
 
 
 FAULTS = (PlatformError, SipError)
--- a/thorndale/platform/config.py
+++ b/thorndale/platform/config.py
@@ -67,9 +67,17 @@
         settings = module_settings(flat(given["settings"]))
     except BadInput as fault:
         raise PlatformError(str(fault), "settings") from None
-    return Config(str(given["name"]), address(given["listen"], "listen"), seed, sockets, limits,
-                  address(given["feed"], "feed"), read_known(given["known"]), settings,
-                  *_types(given["settings"], settings))
+    return Config(
+        str(given["name"]),
+        address(given["listen"], "listen"),
+        seed,
+        sockets,
+        limits,
+        address(given["feed"], "feed"),
+        read_known(given["known"]),
+        settings,
+        *_types(given["settings"], settings),
+    )
 
 
 def _types(raw, settings):
--- a/thorndale/platform/feed.py
+++ b/thorndale/platform/feed.py
@@ -57,10 +57,10 @@
                 raise PlatformError(f"a length of {length}", "frame")
             if len(held) < 4 + length:
                 return
-            frame = bytes(held[4:4 + length])
-            del held[:4 + length]
+            frame = bytes(held[4 : 4 + length])
+            del held[: 4 + length]
             number, kind = HEAD.unpack_from(frame)
-            yield number, kind, frame[HEAD.size:]
+            yield number, kind, frame[HEAD.size :]
 
 
 def read(number, kind, payload):
@@ -87,8 +87,11 @@
             entries = []
             for h in members["hosts"]:
                 host, _, port = h["dial"].rpartition(":")
-                entries.append(Entry(str(h["host"]), host, int(port), WORDS[h["health"]], int(h["block"]),
-                                     int(h.get("born_ms") or 0)))
+                entries.append(
+                    Entry(
+                        str(h["host"]), host, int(port), WORDS[h["health"]], int(h["block"]), int(h.get("born_ms") or 0)
+                    )
+                )
             events.append(Event(int(event["n"]), bool(members["whole"]), tuple(entries)))
         return int(known["n"]), events
     except (KeyError, TypeError, ValueError, AttributeError) as fault:
--- a/thorndale/platform/isup.py
+++ b/thorndale/platform/isup.py
@@ -67,7 +67,7 @@
                 if len(held) - at - 2 < length:
                     break
                 start, at = at + 2, at + 2 + length
-                yield held[start], bytes(held[start + 1:start + 9]), bytes(held[start + 9:at])
+                yield held[start], bytes(held[start + 1 : start + 9]), bytes(held[start + 9 : at])
         finally:
             del held[:at]
 
@@ -84,7 +84,7 @@
             raise PlatformError(f"{length} bytes said, fewer there", f"parameter {code}")
         if code in found:
             raise PlatformError("stands twice", f"parameter {code}")
-        found[code] = data[at - length:at]
+        found[code] = data[at - length : at]
     return found
 
 
--- a/thorndale/platform/links.py
+++ b/thorndale/platform/links.py
@@ -32,8 +32,23 @@
     """A central server as this proxy knows it. `standing` is {call id: Call}; `passed` counts what went by the
     sockets, to be held against what the module believes."""
 
-    __slots__ = ("index", "name", "host", "port", "pool", "state", "started", "links", "standing", "dark_since",
-                 "broke_at", "again_at", "fails", "passed", "lags")
+    __slots__ = (
+        "index",
+        "name",
+        "host",
+        "port",
+        "pool",
+        "state",
+        "started",
+        "links",
+        "standing",
+        "dark_since",
+        "broke_at",
+        "again_at",
+        "fails",
+        "passed",
+        "lags",
+    )
 
     def __init__(self, index, name):
         self.index, self.name = index, name
--- a/thorndale/platform/outcomes.py
+++ b/thorndale/platform/outcomes.py
@@ -17,9 +17,20 @@
     found = CONNECTION[kind]
     return io.NOT_SENT if found == io.RESET and not sent else found
 
+
 # The module's outcomes in the log, by their number.
-NAMES = ("completed", "engaged", "full", "timed out", "unreachable", "reset", "cancelled", "not sent", "faulty",
-         "empty")
+NAMES = (
+    "completed",
+    "engaged",
+    "full",
+    "timed out",
+    "unreachable",
+    "reset",
+    "cancelled",
+    "not sent",
+    "faulty",
+    "empty",
+)
 
 
 def of_a_standing(cause):
--- a/thorndale/records/chain.py
+++ b/thorndale/records/chain.py
@@ -113,8 +113,12 @@
             adjacent = False
         seqs = [item.seq for item in (*read.frames, *read.newer) if item.kind not in s.UNNUMBERED]
         if seqs and not read.damages:
-            if self.last_seq is not None and adjacent and not (opening and opening.abandoned) \
-                    and min(seqs) != self.last_seq + 1:
+            if (
+                self.last_seq is not None
+                and adjacent
+                and not (opening and opening.abandoned)
+                and min(seqs) != self.last_seq + 1
+            ):
                 self.findings.append(Finding(name, 0, 0, f"begins with frame {min(seqs)} after {self.last_seq}"))
             # After a failed sync and a kill, some of what this one repeats may stand in the one before it only.
             if len(set(seqs)) != max(seqs) - min(seqs) + 1 and not (opening and opening.abandoned):
--- a/thorndale/records/delivery.py
+++ b/thorndale/records/delivery.py
@@ -30,7 +30,7 @@
         """Numbers of the batches to be sent now; they are out from now on."""
         while self.first < len(self.state) and self.state[self.first] == DONE:
             self.first += 1
-        free = WINDOW - sum(1 for s in self.state[self.first:self.first + 4 * WINDOW] if s == OUT)
+        free = WINDOW - sum(1 for s in self.state[self.first : self.first + 4 * WINDOW] if s == OUT)
         found = []
         for n in range(self.first, min(len(self.state), self.first + 4 * WINDOW)):
             if len(found) >= free:
@@ -60,14 +60,17 @@
         return self.state[n]
 
     def next_at(self):
-        waiting = [self.at[n] for n in range(self.first, min(len(self.state), self.first + 4 * WINDOW))
-                   if self.state[n] == WAITING]
+        waiting = [
+            self.at[n]
+            for n in range(self.first, min(len(self.state), self.first + 4 * WINDOW))
+            if self.state[n] == WAITING
+        ]
         return min(waiting) if waiting else None
 
     def over(self, now):
         """'' while it goes on; 'done', 'stuck' or 'no progress'."""
         if self.why:
             return "stuck"
-        if all(s == DONE for s in self.state[self.first:]):
+        if all(s == DONE for s in self.state[self.first :]):
             return "done"
         return "no progress" if now - self.progress_at > self.limit_us else ""
--- a/thorndale/records/editions.py
+++ b/thorndale/records/editions.py
@@ -22,8 +22,28 @@
 from thorndale.records.rate import Rater, ordered
 
 EDITION = re.compile(r"^edition-(\d{4})$")
-FIELDS = ("seq", "call", "caller_leg", "client", "call_type", "number", "server", "began_us", "stood_us", "ended_us",
-          "seconds", "how", "by", "status", "answered", "intervals", "free", "tariffs", "amount", "why")
+FIELDS = (
+    "seq",
+    "call",
+    "caller_leg",
+    "client",
+    "call_type",
+    "number",
+    "server",
+    "began_us",
+    "stood_us",
+    "ended_us",
+    "seconds",
+    "how",
+    "by",
+    "status",
+    "answered",
+    "intervals",
+    "free",
+    "tariffs",
+    "amount",
+    "why",
+)
 
 
 class EditionError(Exception):
@@ -75,9 +95,14 @@
         out.writerow(("client", "call_type", "calls", "intervals", "amount"))
         out.writerows(rater.summed())
     manifest = {
-        "format": 1, "currency": tariffs.sheet.currency, "tariffs": tariffs.digest,
-        "rounding": {"to": tariffs.sheet.rounding.to, "mode": tariffs.sheet.rounding.mode,
-                     "at": tariffs.sheet.rounding.at},
+        "format": 1,
+        "currency": tariffs.sheet.currency,
+        "tariffs": tariffs.digest,
+        "rounding": {
+            "to": tariffs.sheet.rounding.to,
+            "mode": tariffs.sheet.rounding.mode,
+            "at": tariffs.sheet.rounding.at,
+        },
         "sources": sorted([s.chain, s.segments] for s in sources if s.chain),
         "counts": dict(sorted((rater.counts + passed).items())),
         "total": str(sum((row[4] for row in rater.summed()), Decimal(0))),
@@ -94,10 +119,28 @@
     record = line.record
     began, ended = record.wall_us(record.came_us), record.wall_us(record.ended_us)
     stood = record.wall_us(record.stood_us) if record.stood_us else ""
-    return (line.seq, record.call, record.caller_leg, record.client, record.call_type, record.number, record.server,
-            began, stood, ended, f"{record.stood_for() / 1e6:.6f}", record.how, record.by, record.status,
-            record.answered, charge.intervals, charge.free, "+".join(charge.tariffs),
-            "" if charge.amount is None else charge.amount, charge.why)
+    return (
+        line.seq,
+        record.call,
+        record.caller_leg,
+        record.client,
+        record.call_type,
+        record.number,
+        record.server,
+        began,
+        stood,
+        ended,
+        f"{record.stood_for() / 1e6:.6f}",
+        record.how,
+        record.by,
+        record.status,
+        record.answered,
+        charge.intervals,
+        charge.free,
+        "+".join(charge.tariffs),
+        "" if charge.amount is None else charge.amount,
+        charge.why,
+    )
 
 
 def digest(path):
@@ -136,8 +179,9 @@
     path = os.path.join(folder, f"difference-{old:04d}-{new:04d}.csv")
     with open(path, "w", encoding="utf-8", newline="") as file:
         out = csv.writer(file, lineterminator="\n")
-        out.writerow(("what", "lines", "seq", "call", "client", "call_type", "old", "new", "old_tariffs",
-                      "new_tariffs"))
+        out.writerow(
+            ("what", "lines", "seq", "call", "client", "call_type", "old", "new", "old_tariffs", "new_tariffs")
+        )
         for name in names:
             for what, a, b in _joined(*(os.path.join(base, name) for base in bases)):
                 one = b or a
@@ -148,8 +192,18 @@
                     pair[n] += Decimal(amount or 0)
                 count[what] += 1
                 if what != "same":
-                    out.writerow((what, name[6:-4], one["seq"], one["call"], *key, *amounts,
-                                  a["tariffs"] if a else "", b["tariffs"] if b else ""))
+                    out.writerow(
+                        (
+                            what,
+                            name[6:-4],
+                            one["seq"],
+                            one["call"],
+                            *key,
+                            *amounts,
+                            a["tariffs"] if a else "",
+                            b["tariffs"] if b else "",
+                        )
+                    )
         for (client, kind), (a, b) in sorted(sums.items()):
             out.writerow(("sum", "", "", "", client, kind, a, b, "", ""))
     return path, count, sums
@@ -157,6 +211,7 @@
 
 def _joined(old, new):
     """(what, old row, new row): same, changed, added, gone."""
+
     def rows(path):
         if os.path.exists(path):
             with open(path, encoding="utf-8", newline="") as file:
--- a/thorndale/records/export.py
+++ b/thorndale/records/export.py
@@ -24,16 +24,38 @@
 from thorndale.records.rate import ordered
 
 STATE = "delivered.rec"
-SCHEMA = pa.schema([
-    ("proxy", pa.string()), ("chain", pa.string()), ("boot", pa.string()), ("seq", pa.int64()), ("call", pa.string()),
-    ("caller_leg", pa.string()), ("server_leg", pa.string()), ("came", pa.timestamp("us", "UTC")),
-    ("stood", pa.timestamp("us", "UTC")), ("ended", pa.timestamp("us", "UTC")), ("stood_us", pa.int64()),
-    ("call_type", pa.string()), ("client", pa.string()), ("trunk_group", pa.string()), ("server", pa.string()),
-    ("caller", pa.string()), ("number", pa.string()), ("rule", pa.string()), ("rules", pa.string()),
-    ("revenue_class", pa.string()), ("priority_class", pa.string()), ("seizures", pa.int16()), ("tries", pa.string()),
-    ("answered", pa.string()), ("status", pa.int16()), ("how", pa.string()), ("by", pa.string()),
-    ("settled", pa.bool_()),
-])
+SCHEMA = pa.schema(
+    [
+        ("proxy", pa.string()),
+        ("chain", pa.string()),
+        ("boot", pa.string()),
+        ("seq", pa.int64()),
+        ("call", pa.string()),
+        ("caller_leg", pa.string()),
+        ("server_leg", pa.string()),
+        ("came", pa.timestamp("us", "UTC")),
+        ("stood", pa.timestamp("us", "UTC")),
+        ("ended", pa.timestamp("us", "UTC")),
+        ("stood_us", pa.int64()),
+        ("call_type", pa.string()),
+        ("client", pa.string()),
+        ("trunk_group", pa.string()),
+        ("server", pa.string()),
+        ("caller", pa.string()),
+        ("number", pa.string()),
+        ("rule", pa.string()),
+        ("rules", pa.string()),
+        ("revenue_class", pa.string()),
+        ("priority_class", pa.string()),
+        ("seizures", pa.int16()),
+        ("tries", pa.string()),
+        ("answered", pa.string()),
+        ("status", pa.int16()),
+        ("how", pa.string()),
+        ("by", pa.string()),
+        ("settled", pa.bool_()),
+    ]
+)
 
 
 class ExportError(Exception):
@@ -44,10 +66,36 @@
     """Values in the order of SCHEMA; times in us of wall time, None where there is none."""
     r = line.record
     tries = ";".join(f"{t.server}:{t.outcome}:{t.took_us}" for t in r.tries)
-    return (line.proxy, line.chain, line.boot, line.seq, r.call, r.caller_leg, r.server_leg, r.wall_us(r.came_us),
-            r.wall_us(r.stood_us) if r.stood_us else None, r.wall_us(r.ended_us), r.stood_for(), r.call_type, r.client,
-            r.trunk_group, r.server, r.caller, r.number, r.rule, r.rules, r.revenue_class, r.priority_class,
-            len(r.tries), tries, r.answered, r.status, r.how, r.by, line.settled)
+    return (
+        line.proxy,
+        line.chain,
+        line.boot,
+        line.seq,
+        r.call,
+        r.caller_leg,
+        r.server_leg,
+        r.wall_us(r.came_us),
+        r.wall_us(r.stood_us) if r.stood_us else None,
+        r.wall_us(r.ended_us),
+        r.stood_for(),
+        r.call_type,
+        r.client,
+        r.trunk_group,
+        r.server,
+        r.caller,
+        r.number,
+        r.rule,
+        r.rules,
+        r.revenue_class,
+        r.priority_class,
+        len(r.tries),
+        tries,
+        r.answered,
+        r.status,
+        r.how,
+        r.by,
+        line.settled,
+    )
 
 
 def make(folder, sources, lines_of, from_us, until_us, client, kind, size):
@@ -84,9 +132,14 @@
             held = []
     if held:
         batches.append(_write(folder, len(batches), held, kind))
-    manifest = {"format": 1, "asked": asked, "batches": batches, "totals": dict(sorted(totals.items())),
-                "passed_over": dict(sorted(passed.items())),
-                "id": hashlib.sha256(json.dumps([asked, batches], sort_keys=True).encode()).hexdigest()[:32]}
+    manifest = {
+        "format": 1,
+        "asked": asked,
+        "batches": batches,
+        "totals": dict(sorted(totals.items())),
+        "passed_over": dict(sorted(passed.items())),
+        "id": hashlib.sha256(json.dumps([asked, batches], sort_keys=True).encode()).hexdigest()[:32],
+    }
     fresh = path + ".new"
     with open(fresh, "w", encoding="utf-8") as file:
         json.dump(manifest, file, indent=1, sort_keys=True)
@@ -108,8 +161,9 @@
                 out.writerow(_text(row))
     else:
         columns = list(zip(*rows, strict=True))
-        table = pa.Table.from_arrays([pa.array(c, type=field.type) for c, field in zip(columns, SCHEMA, strict=True)],
-                                     schema=SCHEMA)
+        table = pa.Table.from_arrays(
+            [pa.array(c, type=field.type) for c, field in zip(columns, SCHEMA, strict=True)], schema=SCHEMA
+        )
         pq.write_table(table, path, compression="zstd", store_schema=False)
     with open(path, "rb") as file:
         os.fsync(file.fileno())
@@ -123,8 +177,10 @@
     row = list(row)
     for n in TIMES:
         if row[n] is not None:
-            row[n] = datetime.datetime.fromtimestamp(row[n] / 1e6, datetime.UTC).strftime("%Y-%m-%dT%H:%M:%S.") + \
-                f"{row[n] % 1_000_000:06d}Z"
+            row[n] = (
+                datetime.datetime.fromtimestamp(row[n] / 1e6, datetime.UTC).strftime("%Y-%m-%dT%H:%M:%S.")
+                + f"{row[n] % 1_000_000:06d}Z"
+            )
     return row
 
 
--- a/thorndale/records/files.py
+++ b/thorndale/records/files.py
@@ -59,7 +59,7 @@
     def append(self, name, data):
         fd, view = self._fd(name), memoryview(data)
         while view:
-            view = view[os.write(fd, view):]
+            view = view[os.write(fd, view) :]
 
     def cut(self, name, size):
         fd = self._fd(name)
--- a/thorndale/records/folder.py
+++ b/thorndale/records/folder.py
@@ -44,6 +44,7 @@
 
 def recovery(files):
     """The Plan for a folder as it is."""
+
     def head(number):
         return r.head_of(files.read(s.name_of(number)))
 
@@ -54,8 +55,9 @@
     plan = r.plan(segments(files, r.needed(there, head, sealed)))
     tomb = next(reversed(list(tombs(files))), None)
     if not there and tomb is not None:  # every segment was erased: the chain goes on behind the last tombstone
-        plan = plan._replace(number=tomb.number + 1, before=tomb.digest, next_seq=tomb.last_seq + 1, chain=tomb.chain,
-                             proxy=tomb.proxy)
+        plan = plan._replace(
+            number=tomb.number + 1, before=tomb.digest, next_seq=tomb.last_seq + 1, chain=tomb.chain, proxy=tomb.proxy
+        )
     return plan
 
 
--- a/thorndale/records/frame.py
+++ b/thorndale/records/frame.py
@@ -24,9 +24,20 @@
 BODY_MOST = 1 << 28  # bytes; a length over it is damage. The largest body is the list of open calls, some 20 MB
 
 OPENING, BEGUN, SENT, ENDED, WHOLE, SETTLED, MARK, CARRY, SEAL, INTENT, TOMB, WORD = range(1, 13)
-KINDS = {OPENING: "opening", BEGUN: "begun", SENT: "sent", ENDED: "ended", WHOLE: "whole", SETTLED: "settled",
-         MARK: "mark", CARRY: "carry", SEAL: "seal", INTENT: "intent", TOMB: "tombstone",
-         WORD: "word"}
+KINDS = {
+    OPENING: "opening",
+    BEGUN: "begun",
+    SENT: "sent",
+    ENDED: "ended",
+    WHOLE: "whole",
+    SETTLED: "settled",
+    MARK: "mark",
+    CARRY: "carry",
+    SEAL: "seal",
+    INTENT: "intent",
+    TOMB: "tombstone",
+    WORD: "word",
+}
 
 
 class Frame(NamedTuple):
@@ -64,8 +75,8 @@
         return "length beyond any frame's"
     if end > len(data):
         return "body cut short"
-    body = bytes(data[at + HEAD.size:end])
-    if xxh3_64_intdigest(bytes(data[at:at + 16]) + body) != check:
+    body = bytes(data[at + HEAD.size : end])
+    if xxh3_64_intdigest(bytes(data[at : at + 16]) + body) != check:
         return "checksum differs"
     return Frame(at, kind, major, seq, body, end)
 
--- a/thorndale/records/hand.py
+++ b/thorndale/records/hand.py
@@ -35,8 +35,11 @@
         # Signals to the proxy's group are for the proxy: it tells its hand when to end by closing the socket.
         self.process = subprocess.Popen(
             [sys.executable, "-m", "thorndale.records.hand", files.folder, str(far.fileno())],
-            stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL, pass_fds=(far.fileno(), files.lock_fd),
-            start_new_session=True)
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+            pass_fds=(far.fileno(), files.lock_fd),
+            start_new_session=True,
+        )
         far.close()
         loop.add_reader(self.sock, self._read)
 
@@ -93,7 +96,7 @@
             end = at + 4 + LENGTH.unpack_from(self.held, at)[0]
             if end > size:
                 break
-            serial, fault, result = pickle.loads(self.held[at + 4:end])
+            serial, fault, result = pickle.loads(self.held[at + 4 : end])
             at = end
             self.done(serial, fault, result)
         del self.held[:at]
@@ -161,7 +164,7 @@
             end = at + 4 + LENGTH.unpack_from(held, at)[0]
             if end > len(held):
                 break
-            work = pickle.loads(held[at + 4:end])
+            work = pickle.loads(held[at + 4 : end])
             at = end
             if work[1] == "op" and work[2][0].what == "sync":
                 syncs.append(work)
--- a/thorndale/records/journal.py
+++ b/thorndale/records/journal.py
@@ -113,8 +113,12 @@
         """Whether the disk has been at one operation for too long. The age of a frame would not do: it grows with the
         loop's own lag, and a proxy under overload would blame its disk."""
         slow = self.limits.slow_us
-        return self.writing is not None and now - self.writing_us > slow or \
-            self.syncing is not None and now - self.syncing_us > slow
+        return (
+            self.writing is not None
+            and now - self.writing_us > slow
+            or self.syncing is not None
+            and now - self.syncing_us > slow
+        )
 
     def close(self):
         """All that waits is still written, then the segment is sealed."""
@@ -130,8 +134,14 @@
         """Whether `want` could have anything to begin: asked at each flush, some eight times a call, so it is cheap."""
         if self.body is None or self.closing or self.trouble or self.rotating:
             return True
-        return self.writing is None and bool(self.queue) and self.due(now) or \
-            self.syncing is None and bool(self.unsynced) and now >= self.synced_us + self.limits.commit_us
+        return (
+            self.writing is None
+            and bool(self.queue)
+            and self.due(now)
+            or self.syncing is None
+            and bool(self.unsynced)
+            and now >= self.synced_us + self.limits.commit_us
+        )
 
     def want(self, now):
         ops = []
@@ -140,8 +150,14 @@
             if op is not None:
                 self.writing, self.writing_us = op, now
                 ops.append(op)
-        if self.syncing is None and self.unsynced and self.body is not None and not self.tail_bad \
-                and now >= self.retry_at and self._sync_due(now):
+        if (
+            self.syncing is None
+            and self.unsynced
+            and self.body is not None
+            and not self.tail_bad
+            and now >= self.retry_at
+            and self._sync_due(now)
+        ):
             self.syncing, self.syncing_us = Op("sync", self.number, upto=self.unsynced[-1][0]), now
             ops.append(self.syncing)
         return ops
@@ -165,8 +181,10 @@
     def _full(self, now):
         """What it was opened with does not count: the carried calls alone may be more than a small segment."""
         body = self.body
-        return body is not None and (body.size - body.head >= self.limits.segment_bytes or (
-            bool(body.records) and now - self.opened_us >= self.limits.segment_us))
+        return body is not None and (
+            body.size - body.head >= self.limits.segment_bytes
+            or (bool(body.records) and now - self.opened_us >= self.limits.segment_us)
+        )
 
     def _write(self, now):
         if self.closed:
@@ -176,8 +194,17 @@
                 self.closed = True
                 return None
             first = self.queue[0][0] if self.queue else self.next_seq
-            opening = Opening(self.proxy, self.chain, self.number, self.boot, first, self.before, self.anchor_us, now,
-                              list(self.abandoned))
+            opening = Opening(
+                self.proxy,
+                self.chain,
+                self.number,
+                self.boot,
+                first,
+                self.before,
+                self.anchor_us,
+                now,
+                list(self.abandoned),
+            )
             again, self.tried = self.tried, True
             return Op("open", self.number, (s.opening_bytes(opening, 0), self._carry()), again=again)
         if self.tail_bad:
--- a/thorndale/records/ledger.py
+++ b/thorndale/records/ledger.py
@@ -209,21 +209,41 @@
 
     def _alarms(self, now):
         journal = self.journal
-        alarm = journal.trouble or ("the disk is slow" if journal.late(now) else "") or (
-            "the queue is full" if journal.room() <= 0 else "")
+        alarm = (
+            journal.trouble
+            or ("the disk is slow" if journal.late(now) else "")
+            or ("the queue is full" if journal.room() <= 0 else "")
+        )
         if alarm == self.alarm:
             return
         if alarm:
             act = "new calls are refused" if journal.limits.policy == "refuse" else "records may be lost, counted"
-            self.say("error", "records cannot be written", reason=alarm, act=act, waiting=len(journal.queue),
-                     lost=journal.lost)
+            self.say(
+                "error",
+                "records cannot be written",
+                reason=alarm,
+                act=act,
+                waiting=len(journal.queue),
+                lost=journal.lost,
+            )
             self.count["alarms"] += 1
         else:
-            self.say("warning", "records are written again", lost=journal.lost, unguarded=journal.unguarded,
-                     answered_ahead=self.count["answered ahead"])
+            self.say(
+                "warning",
+                "records are written again",
+                lost=journal.lost,
+                unguarded=journal.unguarded,
+                answered_ahead=self.count["answered ahead"],
+            )
         self.alarm = alarm
 
     def counts(self):
         journal = self.journal
-        return {"lost": journal.lost, "unguarded": journal.unguarded, "troubles": journal.troubles,
-                "waiting": len(journal.queue), "frames": journal.next_seq, **self.count}
+        return {
+            "lost": journal.lost,
+            "unguarded": journal.unguarded,
+            "troubles": journal.troubles,
+            "waiting": len(journal.queue),
+            "frames": journal.next_seq,
+            **self.count,
+        }
--- a/thorndale/records/rate.py
+++ b/thorndale/records/rate.py
@@ -124,6 +124,7 @@
 def ordered(streams):
     """Lines of several sources, each an iterable in its own order, merged by the wall time of their ends. Within a
     source the order stays, whatever a stepping clock wrote: what comes later counts as not before."""
+
     def keyed(number, lines):
         latest = 0
         for line in lines:
--- a/thorndale/records/recover.py
+++ b/thorndale/records/recover.py
@@ -125,15 +125,22 @@
         before = body.sha.hexdigest()
     elif settled:
         number += 1
-        head = Opening(opening.proxy, opening.chain, number, opening.boot, next_seq - len(frames), before,
-                       opening.anchor_us, max(r.ended_us for r in settled))
+        head = Opening(
+            opening.proxy,
+            opening.chain,
+            number,
+            opening.boot,
+            next_seq - len(frames),
+            before,
+            opening.anchor_us,
+            max(r.ended_us for r in settled),
+        )
         data = s.opening_bytes(head, 0) + f.pack(f.CARRY, 0, b"")
         body = _body_of(data, s.parse(s.name_of(number), data))
         _add(body, frames, settled)
         steps.append(Step("create", s.name_of(number), data + b"".join(frames) + s.seal_bytes(body, 0)))
         before = body.sha.hexdigest()
-    return Plan(steps, settled, findings, number + 1, before, next_seq, opening.chain, opening.proxy, cut_bytes,
-                unsure)
+    return Plan(steps, settled, findings, number + 1, before, next_seq, opening.chain, opening.proxy, cut_bytes, unsure)
 
 
 def _trimmed(name, data):
@@ -208,5 +215,14 @@
         return None
     if seal is None:
         return Tomb(opening.proxy, opening.chain, number, "", len(data), 0, -1, 0, now_wall_us)
-    return Tomb(opening.proxy, opening.chain, number, seal.digest, len(data), seal.records, seal.last_seq, last_wall,
-                now_wall_us)
+    return Tomb(
+        opening.proxy,
+        opening.chain,
+        number,
+        seal.digest,
+        len(data),
+        seal.records,
+        seal.last_seq,
+        last_wall,
+        now_wall_us,
+    )
--- a/thorndale/records/segment.py
+++ b/thorndale/records/segment.py
@@ -54,8 +54,9 @@
 
 def seal_bytes(body, seq, damaged=()):
     index = body.index
-    seal = Seal(body.sha.hexdigest(), body.frames, body.last_seq, *body.walls, body.records,
-                index.tobytes(), list(damaged))
+    seal = Seal(
+        body.sha.hexdigest(), body.frames, body.last_seq, *body.walls, body.records, index.tobytes(), list(damaged)
+    )
     return f.pack(f.SEAL, seq, encode(seal))
 
 
@@ -126,7 +127,7 @@
         if body is not None:
             known = {tuple(d) for d in body.damaged}
             findings = [x for x in findings if (x.at, x.end) not in known or not x.what.startswith("no frame")]
-            if hashlib.sha256(memoryview(data)[:seal.at]).hexdigest() != body.digest:
+            if hashlib.sha256(memoryview(data)[: seal.at]).hexdigest() != body.digest:
                 findings.append(Finding(name, 0, seal.at, "its bytes are not those that were sealed"))
             if body.frames != count:
                 findings.append(Finding(name, 0, seal.at, f"holds {count} frames, was sealed with {body.frames}"))
--- a/thorndale/records/send.py
+++ b/thorndale/records/send.py
@@ -24,8 +24,9 @@
     return f"{manifest['id']}-{batch['file'].partition('.')[0]}-{batch['sha256'][:16]}"
 
 
-def deliver(folder, manifest, state, url, timeout_s=10.0, limit_s=600.0, told=lambda counts: None,
-            chance=random.random):
+def deliver(
+    folder, manifest, state, url, timeout_s=10.0, limit_s=600.0, told=lambda counts: None, chance=random.random
+):
     """Sends what `state` does not know as stored, then the manifest. Gives ('done', 'stuck' or 'no progress', counts,
     reasons)."""
     batches = manifest["batches"]
@@ -33,13 +34,15 @@
     delivery = Delivery(last, state.done, chance, int(limit_s * 1e6), _now())
     pool = urllib3.PoolManager(maxsize=WINDOW, retries=False, timeout=urllib3.Timeout(timeout_s))
     with ThreadPoolExecutor(WINDOW) as threads:
-        how = _run(delivery, threads, lambda n: _post(pool, url, folder, batches[n], key_of(manifest, batches[n])),
-                   state, told)
+        how = _run(
+            delivery, threads, lambda n: _post(pool, url, folder, batches[n], key_of(manifest, batches[n])), state, told
+        )
         if how == "done" and last not in state.done:
             whole = Delivery(last + 1, set(range(last)), chance, int(limit_s * 1e6), _now())
             end = {"file": "manifest.json", "sha256": manifest["id"]}
-            how = _run(whole, threads, lambda n: _post(pool, url, folder, end, f"{manifest['id']}-manifest"), state,
-                       told)
+            how = _run(
+                whole, threads, lambda n: _post(pool, url, folder, end, f"{manifest['id']}-manifest"), state, told
+            )
             delivery.count += whole.count
             delivery.why.update(whole.why)
     pool.clear()
--- a/thorndale/records/settle.py
+++ b/thorndale/records/settle.py
@@ -42,8 +42,18 @@
     def see(self, line):
         record = line.record
         if record.answered == DOUBT:
-            self.doubts.append(Doubt(line.proxy, line.chain, record.call, record.caller_leg, record.caller_tag,
-                                     record.client, record.call_type, record.wall_us(record.stood_us)))
+            self.doubts.append(
+                Doubt(
+                    line.proxy,
+                    line.chain,
+                    record.call,
+                    record.caller_leg,
+                    record.caller_tag,
+                    record.client,
+                    record.call_type,
+                    record.wall_us(record.stood_us),
+                )
+            )
         if record.how == STOPPED:
             if record.caller_leg:
                 self.legs.setdefault((record.caller_leg, record.caller_tag), []).append(line)
@@ -60,15 +70,22 @@
             came = record.wall_us(record.came_us)
             for other in self.pairs.get((record.caller, record.number), ()):
                 cut = other.record
-                if cut.call != record.call and cut.caller_leg != record.caller_leg \
-                        and came - cut.wall_us(cut.came_us) >= 0 \
-                        and came - cut.wall_us(cut.ended_us) <= REDIAL_US:
+                if (
+                    cut.call != record.call
+                    and cut.caller_leg != record.caller_leg
+                    and came - cut.wall_us(cut.came_us) >= 0
+                    and came - cut.wall_us(cut.ended_us) <= REDIAL_US
+                ):
                     yield _meeting("redial", other, line)
 
 
 def _meeting(what, other, line):
-    return Meeting(what, (other.proxy, other.record.call), (line.proxy, line.record.call),
-                   (other.record.answered, line.record.answered))
+    return Meeting(
+        what,
+        (other.proxy, other.record.call),
+        (line.proxy, line.record.call),
+        (other.record.answered, line.record.answered),
+    )
 
 
 def words(doubts, meetings, answered, unanswered, wall_us):
@@ -83,10 +100,12 @@
         if yes and no:
             raise ValueError(f"call {doubt.call} stands in both lists")
         if yes or no:
-            found[(doubt.chain, doubt.call)] = Word(doubt.call, "yes" if yes else "no", "by the other side's list",
-                                                    wall_us)
+            found[(doubt.chain, doubt.call)] = Word(
+                doubt.call, "yes" if yes else "no", "by the other side's list", wall_us
+            )
         elif (doubt.proxy, doubt.call) in second:
             other = second[(doubt.proxy, doubt.call)].second
             found[(doubt.chain, doubt.call)] = Word(
-                doubt.call, "withdrawn", f"its caller went on to {other[0]}, call {other[1]}", wall_us)
+                doubt.call, "withdrawn", f"its caller went on to {other[0]}, call {other[1]}", wall_us
+            )
     return found, sorted((answered | unanswered) - known)
--- a/thorndale/records/store.py
+++ b/thorndale/records/store.py
@@ -38,25 +38,48 @@
         plan = fo.recovery(files)
         if plan.proxy and plan.proxy != proxy:
             files.close()
-            raise StoreError(f"records.folder: {settings.folder} holds the records of {plan.proxy!r}, this is "
-                             f"{proxy!r}; give each proxy a folder of its own")
+            raise StoreError(
+                f"records.folder: {settings.folder} holds the records of {plan.proxy!r}, this is "
+                f"{proxy!r}; give each proxy a folder of its own"
+            )
         fo.apply(files, plan.steps)
         for finding in plan.findings:
-            say("error", "records: found at start", file=finding.name, at=finding.at, end=finding.end,
-                what=finding.what)
+            say(
+                "error", "records: found at start", file=finding.name, at=finding.at, end=finding.end, what=finding.what
+            )
         if plan.settled:
-            say("warning", "records: calls settled", calls=len(plan.settled),
-                in_doubt=sum(r.answered == "doubt" for r in plan.settled))
+            say(
+                "warning",
+                "records: calls settled",
+                calls=len(plan.settled),
+                in_doubt=sum(r.answered == "doubt" for r in plan.settled),
+            )
     except Locked as fault:
         raise StoreError(f"records.folder: {fault}") from None
     except OSError as fault:
         files and files.close()
-        raise StoreError(f"records.folder: {settings.folder}: {fault.strerror or fault}; make room or name another "
-                         "folder, nothing there was lost") from None
-    limits = Limits(settings.queue, settings.segment_bytes, settings.segment_s * 1_000_000,
-                    settings.commit_ms * 1000, settings.slow_ms * 1000, settings.on_trouble)
-    journal = Journal(limits, proxy, plan.chain or secrets.token_hex(8), secrets.token_hex(8), wall_offset_us,
-                      plan.number, plan.before, plan.next_seq)
+        raise StoreError(
+            f"records.folder: {settings.folder}: {fault.strerror or fault}; make room or name another "
+            "folder, nothing there was lost"
+        ) from None
+    limits = Limits(
+        settings.queue,
+        settings.segment_bytes,
+        settings.segment_s * 1_000_000,
+        settings.commit_ms * 1000,
+        settings.slow_ms * 1000,
+        settings.on_trouble,
+    )
+    journal = Journal(
+        limits,
+        proxy,
+        plan.chain or secrets.token_hex(8),
+        secrets.token_hex(8),
+        wall_offset_us,
+        plan.number,
+        plan.before,
+        plan.next_seq,
+    )
     return Store(files, journal, settings, loop, say, plan.unsure, now)
 
 
@@ -65,8 +88,9 @@
         self.files, self.journal, self.loop, self.say = files, journal, loop, say
         self.out = {}  # serial number of work that is with the hand: (what it is, its arguments)
         self.hand = Hand(loop, files, self._done, self._lost)
-        self.ledger = Ledger(journal, settings.answer, settings.wait_ms * 1000, self.begin, self.write_word, say,
-                             unsure, now)
+        self.ledger = Ledger(
+            journal, settings.answer, settings.wait_ms * 1000, self.begin, self.write_word, say, unsure, now
+        )
         self.clock, self.after, self.ending, self.erasing, self.again = None, None, False, None, None
 
     def attach(self, clock, after):
@@ -146,8 +170,12 @@
             self.ledger.flush(self.clock())
             await asyncio.sleep(0.002)
         if not self.journal.closed:
-            self.say("error", "records not written at the end", frames=len(self.journal.queue),
-                     reason=self.journal.trouble or "the disk does not answer")
+            self.say(
+                "error",
+                "records not written at the end",
+                frames=len(self.journal.queue),
+                reason=self.journal.trouble or "the disk does not answer",
+            )
         self.ending = True
         if self.again is not None:
             self.again.cancel()
--- a/thorndale/records/tariff.py
+++ b/thorndale/records/tariff.py
@@ -86,8 +86,18 @@
 class Rate:
     """An entry ready to be reckoned with. Money is Decimal, spans are days and minutes of the week."""
 
-    __slots__ = ("name", "entry", "first", "last", "minutes", "per_call", "per_interval", "interval_us", "minimum",
-                 "beyond")
+    __slots__ = (
+        "name",
+        "entry",
+        "first",
+        "last",
+        "minutes",
+        "per_call",
+        "per_interval",
+        "interval_us",
+        "minimum",
+        "beyond",
+    )
 
     def __init__(self, entry, first, last, minutes, money):
         self.name, self.entry, self.first, self.last, self.minutes = entry.name, entry, first, last, minutes
@@ -230,11 +240,13 @@
             faults.append(f"{at}: the name stands at tariffs[{names[entry.name]}] already")
         names.setdefault(entry.name, n)
         if entry.call_type != ANY and entry.call_type not in sheet.call_types:
-            faults.append(f"{at}.call_type: {entry.call_type!r} is unknown; call_types lists "
-                          f"{', '.join(sheet.call_types)}")
+            faults.append(
+                f"{at}.call_type: {entry.call_type!r} is unknown; call_types lists {', '.join(sheet.call_types)}"
+            )
         if entry.client != ANY and entry.client not in sheet.clients:
-            faults.append(f"{at}.client: {entry.client!r} is unknown; clients lists "
-                          f"{', '.join(sheet.clients) or 'none'}")
+            faults.append(
+                f"{at}.client: {entry.client!r} is unknown; clients lists {', '.join(sheet.clients) or 'none'}"
+            )
         rate = _rate(entry, at, first, last, faults)
         if rate is not None:
             groups.setdefault((entry.prefix, entry.client, entry.call_type), []).append(rate)
@@ -264,7 +276,7 @@
     try:
         money = Decimal(text)
     except InvalidOperation:
-        faults.append(f"{path}: {text!r} is no amount; write it like \"0.05\"")
+        faults.append(f'{path}: {text!r} is no amount; write it like "0.05"')
         return None
     if not money.is_finite() or money.copy_abs() > MONEY_MOST:
         faults.append(f"{path}: {text!r} is no amount of money")
@@ -281,8 +293,10 @@
         if entry.quota.beyond is None:
             faults.append(f"{at}.quota.beyond: is missing: what is charged past the quota")
         else:
-            beyond = [_money(entry.quota.beyond.per_call, f"{at}.quota.beyond.per_call", faults),
-                      _money(entry.quota.beyond.per_interval, f"{at}.quota.beyond.per_interval", faults)]
+            beyond = [
+                _money(entry.quota.beyond.per_call, f"{at}.quota.beyond.per_call", faults),
+                _money(entry.quota.beyond.per_interval, f"{at}.quota.beyond.per_interval", faults),
+            ]
     if entry.free is not None and entry.free.beyond is not None:
         faults.append(f"{at}.free.beyond: a free share has none; the entry's own prices count past it")
     for name in SHARES:
@@ -309,8 +323,12 @@
     bounds = []
     for part in entry.hours.split("-"):
         hour, colon, minute = part.partition(":")
-        if not colon or not (hour.isdigit() and minute.isdigit()) or int(minute) > 59 or \
-                int(hour) * 60 + int(minute) > 1440:
+        if (
+            not colon
+            or not (hour.isdigit() and minute.isdigit())
+            or int(minute) > 59
+            or int(hour) * 60 + int(minute) > 1440
+        ):
             faults.append(f"{at}.hours: {entry.hours!r} is no span; write HH:MM-HH:MM, 24:00 at most")
             return None
         bounds.append(int(hour) * 60 + int(minute))
