--- a/thorndale/sip/dialog.py
+++ b/thorndale/sip/dialog.py
@@ -31,11 +31,23 @@
     `made_by_us` tells who sent the INVITE. `routes` are Route values in the order in which they go out.
     """
 
-    __slots__ = ("call_id", "local", "remote", "local_tag", "remote_tag", "target", "routes", "local_seq",
-                 "remote_seq", "hop", "made_by_us")
-
-    def __init__(self, call_id, local, remote, local_tag, remote_tag, target, routes, local_seq, remote_seq, hop,
-                 made_by_us):
+    __slots__ = (
+        "call_id",
+        "local",
+        "remote",
+        "local_tag",
+        "remote_tag",
+        "target",
+        "routes",
+        "local_seq",
+        "remote_seq",
+        "hop",
+        "made_by_us",
+    )
+
+    def __init__(
+        self, call_id, local, remote, local_tag, remote_tag, target, routes, local_seq, remote_seq, hop, made_by_us
+    ):
         self.call_id, self.local, self.remote = call_id, local, remote
         self.local_tag, self.remote_tag, self.target, self.routes = local_tag, remote_tag, target, routes
         self.local_seq, self.remote_seq, self.hop, self.made_by_us = local_seq, remote_seq, hop, made_by_us
@@ -49,8 +61,19 @@
             raise SipError("is missing", "Contact")
         routes = tuple(invite.all("record-route"))
         to = invite.get("to")
-        dialog = cls(invite.call_id, f"{to};tag={local_tag}", invite.get("from"), local_tag, invite.from_tag,
-                     contact.uri, routes, 0, invite.cseq[0], hop, False)
+        dialog = cls(
+            invite.call_id,
+            f"{to};tag={local_tag}",
+            invite.get("from"),
+            local_tag,
+            invite.from_tag,
+            contact.uri,
+            routes,
+            0,
+            invite.cseq[0],
+            hop,
+            False,
+        )
         if hop.transport != "tcp":
             dialog.hop = dialog.next_hop()
         return dialog
@@ -61,8 +84,19 @@
         contact = response.contact
         target = contact.uri if contact is not None else invite.uri
         routes = tuple(reversed(response.all("record-route")))
-        dialog = cls(invite.call_id, invite.get("from"), response.get("to"), invite.from_tag, response.to_tag, target,
-                     routes, invite.cseq[0], 0, hop, True)
+        dialog = cls(
+            invite.call_id,
+            invite.get("from"),
+            response.get("to"),
+            invite.from_tag,
+            response.to_tag,
+            target,
+            routes,
+            invite.cseq[0],
+            0,
+            hop,
+            True,
+        )
         wanted = dialog.next_hop()
         if wanted.transport != hop.transport or hop.conn == 0:
             dialog.hop = wanted
@@ -74,8 +108,9 @@
 
     def is_of(self, request):
         """Whether this request from the other side belongs here (12.2.2)."""
-        return (request.call_id == self.call_id and request.to_tag == self.local_tag
-                and request.from_tag == self.remote_tag)
+        return (
+            request.call_id == self.call_id and request.to_tag == self.local_tag and request.from_tag == self.remote_tag
+        )
 
     def in_order(self, request):
         """Whether the request's CSeq is newer than all before; then it is the newest (12.2.2). An ACK takes the
@@ -112,9 +147,14 @@
             if "lr" not in parse_uri(first).params:  # a strict router: it wants itself in the Request-URI
                 uri, routes = first, (*routes[1:], f"<{self.target}>")
         message = Message(method, uri)
-        message.fields = [("via", "Via", via), ("max-forwards", "Max-Forwards", "70"),
-                          ("from", "From", self.local), ("to", "To", self.remote),
-                          ("call-id", "Call-ID", self.call_id), ("cseq", "CSeq", f"{seq} {method}")]
+        message.fields = [
+            ("via", "Via", via),
+            ("max-forwards", "Max-Forwards", "70"),
+            ("from", "From", self.local),
+            ("to", "To", self.remote),
+            ("call-id", "Call-ID", self.call_id),
+            ("cseq", "CSeq", f"{seq} {method}"),
+        ]
         for route in routes:
             message.add("Route", route)
         for name, value in extra:
--- a/thorndale/sip/framing.py
+++ b/thorndale/sip/framing.py
@@ -59,8 +59,8 @@
                 self._need = end + 4 + _body_length(bytes(held[:end]))
             if len(held) < self._need:
                 break
-            out.append(bytes(held[:self._need]))
-            del held[:self._need]
+            out.append(bytes(held[: self._need]))
+            del held[: self._need]
             self._need = self._looked = 0
         return out
 
--- a/thorndale/sip/headers.py
+++ b/thorndale/sip/headers.py
@@ -99,7 +99,7 @@
     at = 0
     if value[:1] == "<":  # the usual form, at once
         right = value.find(">")
-        uri, rest = value[1:right], value[right + 1:].lstrip()
+        uri, rest = value[1:right], value[right + 1 :].lstrip()
         if right > 1 and " " not in uri and rest[:1] in (";", ""):
             return Address("", uri, parse_params(rest[1:]) if rest else {})
     if value.startswith('"'):
@@ -123,12 +123,12 @@
     right = value.find(">", left)
     if right < 0:
         raise SipError("'<' has no '>'", where)
-    display, rest = value[:left].strip(), value[right + 1:].strip()
+    display, rest = value[:left].strip(), value[right + 1 :].strip()
     if rest and rest[0] != ";":
         raise SipError("text after '>'", where)
     if not display.startswith('"') and display and not all(is_token(w) for w in display.split()):
         raise SipError("the display name needs quotes", where)
-    uri = value[left + 1:right]
+    uri = value[left + 1 : right]
     if not uri or uri != uri.strip() or " " in uri:
         raise SipError("the URI holds spaces or nothing", where)
     return Address(unquote(display), uri, parse_params(rest[1:]) if rest else {})
--- a/thorndale/sip/message.py
+++ b/thorndale/sip/message.py
@@ -14,27 +14,78 @@
 VERSION = "SIP/2.0"
 
 COMPACT = {  # RFC 3261 section 20 and the registry of SIP header fields
-    "i": "call-id", "m": "contact", "e": "content-encoding", "l": "content-length", "c": "content-type",
-    "f": "from", "s": "subject", "k": "supported", "t": "to", "v": "via", "o": "event", "u": "allow-events",
-    "r": "refer-to", "b": "referred-by", "x": "session-expires", "a": "accept-contact", "j": "reject-contact",
-    "d": "request-disposition", "y": "identity",
+    "i": "call-id",
+    "m": "contact",
+    "e": "content-encoding",
+    "l": "content-length",
+    "c": "content-type",
+    "f": "from",
+    "s": "subject",
+    "k": "supported",
+    "t": "to",
+    "v": "via",
+    "o": "event",
+    "u": "allow-events",
+    "r": "refer-to",
+    "b": "referred-by",
+    "x": "session-expires",
+    "a": "accept-contact",
+    "j": "reject-contact",
+    "d": "request-disposition",
+    "y": "identity",
 }
-LISTED = frozenset((
-    "via", "route", "record-route", "contact", "supported", "require", "proxy-require", "unsupported", "allow",
-    "accept",
-))
+LISTED = frozenset(
+    (
+        "via",
+        "route",
+        "record-route",
+        "contact",
+        "supported",
+        "require",
+        "proxy-require",
+        "unsupported",
+        "allow",
+        "accept",
+    )
+)
 NEEDED = frozenset(("via", "from", "to", "call-id", "cseq"))
 ONCE = frozenset(("from", "to", "call-id", "cseq", "content-length", "max-forwards"))
 REASONS = {
-    100: "Trying", 180: "Ringing", 181: "Call Is Being Forwarded", 183: "Session Progress", 200: "OK",
-    202: "Accepted", 400: "Bad Request", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed",
-    408: "Request Timeout", 413: "Request Entity Too Large", 415: "Unsupported Media Type",
-    416: "Unsupported URI Scheme", 420: "Bad Extension", 423: "Interval Too Brief", 480: "Temporarily Unavailable",
-    481: "Call/Transaction Does Not Exist", 482: "Loop Detected", 483: "Too Many Hops", 484: "Address Incomplete",
-    486: "Busy Here", 487: "Request Terminated", 488: "Not Acceptable Here", 489: "Bad Event",
-    491: "Request Pending", 500: "Server Internal Error", 501: "Not Implemented", 502: "Bad Gateway",
-    503: "Service Unavailable", 504: "Server Time-out", 505: "Version Not Supported", 513: "Message Too Large",
-    600: "Busy Everywhere", 603: "Decline",
+    100: "Trying",
+    180: "Ringing",
+    181: "Call Is Being Forwarded",
+    183: "Session Progress",
+    200: "OK",
+    202: "Accepted",
+    400: "Bad Request",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    413: "Request Entity Too Large",
+    415: "Unsupported Media Type",
+    416: "Unsupported URI Scheme",
+    420: "Bad Extension",
+    423: "Interval Too Brief",
+    480: "Temporarily Unavailable",
+    481: "Call/Transaction Does Not Exist",
+    482: "Loop Detected",
+    483: "Too Many Hops",
+    484: "Address Incomplete",
+    486: "Busy Here",
+    487: "Request Terminated",
+    488: "Not Acceptable Here",
+    489: "Bad Event",
+    491: "Request Pending",
+    500: "Server Internal Error",
+    501: "Not Implemented",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Server Time-out",
+    505: "Version Not Supported",
+    513: "Message Too Large",
+    600: "Busy Everywhere",
+    603: "Decline",
 }
 _KEYS = {}  # header names as written: their key; bounded, since peers choose the names
 _KEYS_MOST = 1024
@@ -146,7 +197,7 @@
         for at, field in enumerate(self.fields):
             if field[0] == key:
                 self.fields[at] = (key, name, value)
-                self.fields[at + 1:] = [f for f in self.fields[at + 1:] if f[0] != key]
+                self.fields[at + 1 :] = [f for f in self.fields[at + 1 :] if f[0] != key]
                 break
         else:
             self.fields.append((key, name, value))
@@ -201,7 +252,7 @@
         fault.message = message
         raise fault
     try:
-        message.body = _body(message, bytes(data[end + 4:]), stream)
+        message.body = _body(message, bytes(data[end + 4 :]), stream)
     except SipError as bad:
         bad.message = message
         raise
--- a/thorndale/sip/transaction.py
+++ b/thorndale/sip/transaction.py
@@ -147,8 +147,21 @@
 class Transaction:
     """One transaction. `message` is its request, `wire` the bytes to repeat, `user` who is told."""
 
-    __slots__ = ("layer", "table", "key", "hop", "message", "wire", "user", "state", "timers", "gap", "last",
-                 "method", "merged")
+    __slots__ = (
+        "layer",
+        "table",
+        "key",
+        "hop",
+        "message",
+        "wire",
+        "user",
+        "state",
+        "timers",
+        "gap",
+        "last",
+        "method",
+        "merged",
+    )
 
     def __init__(self, layer, table, key, hop, message, user, state):
         self.layer, self.table, self.key, self.hop = layer, table, key, hop
@@ -217,16 +230,19 @@
         times = tx.layer.times
         tx.gap = times.t2 if to_t2 else min(tx.gap * 2, times.t2 if most else 1 << 60)
         tx.start(now, name, tx.gap)
+
     return step
 
 
 def _start(name, wait, when_reliable=True):
     """Starts a timer; on a reliable transport, where `when_reliable` is false, it is 0 s and so falls due now."""
+
     def start(tx, now, message):
         if not when_reliable and tx.reliable:
             tx.state = "terminated"
         else:
             tx.start(now, name, wait(tx.layer.times))
+
     return start
 
 
@@ -323,8 +339,15 @@
             self.user.full(now, message, hop)
             return
         invite = message.method == "INVITE"
-        tx = Transaction(self, INVITE_SERVER if invite else SERVER, key, hop, message, self.user,
-                         "proceeding" if invite else "trying")
+        tx = Transaction(
+            self,
+            INVITE_SERVER if invite else SERVER,
+            key,
+            hop,
+            message,
+            self.user,
+            "proceeding" if invite else "trying",
+        )
         if invite and not message.to_tag:
             # RFC 3261 section 8.2.2.2: the same request by another way.
             merged = (message.call_id, message.from_tag, message.cseq[0])
@@ -359,8 +382,15 @@
         branch = message.via.params.get("branch", "")
         if not branch.startswith(COOKIE) or (branch, message.method) in self.clients:
             raise SipError("the branch is not new", "Via")
-        tx = Transaction(self, INVITE_CLIENT if invite else CLIENT, (branch, message.method), hop, message, user,
-                         "calling" if invite else "trying")
+        tx = Transaction(
+            self,
+            INVITE_CLIENT if invite else CLIENT,
+            (branch, message.method),
+            hop,
+            message,
+            user,
+            "calling" if invite else "trying",
+        )
         tx.wire = message.encode()
         self._keep(self.clients, tx)
         tx.start(now, "timer B" if invite else "timer F", self.times.most)
--- a/thorndale/sip/uri.py
+++ b/thorndale/sip/uri.py
@@ -40,7 +40,7 @@
     while at < len(text):
         c = text[at]
         if c == "%":
-            pair = text[at + 1:at + 3]
+            pair = text[at + 1 : at + 3]
             if len(pair) != 2 or not HEX.issuperset(pair):
                 raise SipError("'%' without two hex digits", "URI")
             out.append(int(pair, 16))
@@ -96,8 +96,9 @@
     host, port = parse_host_port(address, "URI")
     if not HOST.issuperset(host):
         raise SipError("no host", "URI")
-    return Uri(scheme, user, password, host.lower(), port, parse_params(params) if semicolon else {},
-               user_params, headers)
+    return Uri(
+        scheme, user, password, host.lower(), port, parse_params(params) if semicolon else {}, user_params, headers
+    )
 
 
 def digits(uri):
--- a/thorndale/sites/health.py
+++ b/thorndale/sites/health.py
@@ -28,8 +28,19 @@
 class Site:
     """`chance()` gives a share from 0 to 1. `told`: servers of it that the list holds to be serving."""
 
-    __slots__ = ("chance", "state", "scores", "until", "doubled", "calm_at", "grants", "lacked_at", "answered_at",
-                 "tried_at", "back_at")
+    __slots__ = (
+        "chance",
+        "state",
+        "scores",
+        "until",
+        "doubled",
+        "calm_at",
+        "grants",
+        "lacked_at",
+        "answered_at",
+        "tried_at",
+        "back_at",
+    )
 
     def __init__(self, chance):
         self.chance, self.state, self.until = chance, UP, 0
--- a/thorndale/sites/planner.py
+++ b/thorndale/sites/planner.py
@@ -117,8 +117,11 @@
 
     def broken(self):
         values = self.highs.getSolution().col_value
-        return [f"{text}, {values[given.index]:.3g} are missing" for text, given in self.slacks
-                if values[given.index] > SMALL]
+        return [
+            f"{text}, {values[given.index]:.3g} are missing"
+            for text, given in self.slacks
+            if values[given.index] > SMALL
+        ]
 
     def plan(self):
         load, count = self.load, len(self.sites)
@@ -131,8 +134,11 @@
             served[t][o][s] = value
             if s != o:
                 outside[s] += value
-        duals = [(text, abs(dual)) for text, dual in zip(self.rows, solution.row_dual, strict=True)
-                 if text and "offered" not in text and abs(dual) > SMALL]
+        duals = [
+            (text, abs(dual))
+            for text, dual in zip(self.rows, solution.row_dual, strict=True)
+            if text and "offered" not in text and abs(dual) > SMALL
+        ]
         earned = sum(r * sum(map(sum, rows)) for r, rows in zip(load.revenue, served, strict=True))
         wished = sum(r * sum(row) for r, row in zip(load.revenue, load.offered, strict=True))
         return Plan(served, outside, earned, wished, sorted(duals, key=lambda d: -d[1]))
--- a/thorndale/sites/router.py
+++ b/thorndale/sites/router.py
@@ -86,8 +86,9 @@
                 anew.add(entry.server)
         self.servers = known
         for s, site in enumerate(self.health):
-            serving = [n for n, (pool, state, _) in known.items()
-                       if state == io.SERVING and self.site_of.get(pool) == s]
+            serving = [
+                n for n, (pool, state, _) in known.items() if state == io.SERVING and self.site_of.get(pool) == s
+            ]
             site.listed(now, serving, anew.intersection(serving))
         self._note(before)
 
@@ -165,14 +166,19 @@
             self._note(before)
             if not takes:
                 continue
-            if site != offered.origin and not self.spill[site].takes(now, self._part(offered.origin),
-                                                                      self._revenue(event)):
+            if site != offered.origin and not self.spill[site].takes(
+                now, self._part(offered.origin), self._revenue(event)
+            ):
                 continue
             offered.site = site
-            passed.append(event._replace(
-                call_type=plan.index(event.call_type, site, self.number), left_us=max(1, offered.last - now),
-                pool=event.pool if self.site_of.get(event.pool) == site else -1,
-                key=event.key if first else 0))  # or the module would take its own rejection for the caller's redial
+            passed.append(
+                event._replace(
+                    call_type=plan.index(event.call_type, site, self.number),
+                    left_us=max(1, offered.last - now),
+                    pool=event.pool if self.site_of.get(event.pool) == site else -1,
+                    key=event.key if first else 0,
+                )
+            )  # or the module would take its own rejection for the caller's redial
             return True
         return False
 
--- a/thorndale/spread/measure.py
+++ b/thorndale/spread/measure.py
@@ -33,7 +33,7 @@
 
 def windows(row, seconds):
     """The counts of whole windows."""
-    return [sum(row[at:at + seconds]) for at in range(0, len(row) - seconds + 1, seconds)]
+    return [sum(row[at : at + seconds]) for at in range(0, len(row) - seconds + 1, seconds)]
 
 
 def parts_of(pool, parts):
@@ -59,9 +59,13 @@
 
 def extremes(rows, pools, parts=None, window_s=WINDOW_S):
     """(least, most) of any server in any window beside its part of the pool's calls."""
-    found = [c / (sum(counts) * p) for pool in pools
-             for counts in zip(*(windows(rows[s], window_s) for s in pool), strict=True) if sum(counts)
-             for c, p in zip(counts, parts_of(pool, parts), strict=True)]
+    found = [
+        c / (sum(counts) * p)
+        for pool in pools
+        for counts in zip(*(windows(rows[s], window_s) for s in pool), strict=True)
+        if sum(counts)
+        for c, p in zip(counts, parts_of(pool, parts), strict=True)
+    ]
     return (min(found), max(found)) if found else (1.0, 1.0)
 
 
@@ -108,10 +112,11 @@
     for pool in pools:
         own = parts_of(pool, parts)
         for at in range(from_s, len(rows[0]) - window_s + 1):
-            counts = [sum(rows[s][at:at + window_s]) for s in pool]
+            counts = [sum(rows[s][at : at + window_s]) for s in pool]
             n = sum(counts)
-            off = (abs(c - n * p) - within * n * p - 2 * sqrt(n * p * (1 - p))
-                   for c, p in zip(counts, own, strict=True))
+            off = (
+                abs(c - n * p) - within * n * p - 2 * sqrt(n * p * (1 - p)) for c, p in zip(counts, own, strict=True)
+            )
             if max(off) > 0:
                 last = max(last, at + 1)
     return None if last > len(rows[0]) - 2 * window_s else last - from_s
@@ -121,8 +126,9 @@
     """All of it as a Balance."""
     least, most = extremes(rows, pools, parts, window_s)
     beyond, server, second = peak(rows, pools, parts)
-    return Balance(variance(rows, pools, parts, window_s), least, most, idle(rows, pools, parts), beyond,
-                   (server, second))
+    return Balance(
+        variance(rows, pools, parts, window_s), least, most, idle(rows, pools, parts), beyond, (server, second)
+    )
 
 
 def over(firsts, retries, back_us=0):
--- a/thorndale/standins/apart.py
+++ b/thorndale/standins/apart.py
@@ -60,8 +60,8 @@
         rest = b""
         while data := file.read(CHUNK):
             data, at = rest + data, 0
-            while len(data) - at >= 4 and len(data) - at - 4 >= (size := int.from_bytes(data[at:at + 4], "big")):
-                now, place, way, message = decode(data[at + 4:at + 4 + size])
+            while len(data) - at >= 4 and len(data) - at - 4 >= (size := int.from_bytes(data[at : at + 4], "big")):
+                now, place, way, message = decode(data[at + 4 : at + 4 + size])
                 serial += 1
                 heapq.heappush(waiting, (now, serial, place, way, message))
                 at += 4 + size
@@ -74,6 +74,7 @@
 
 def listen(conn, loop, heard_, gone):
     """A thread that waits on the pipe: uvloop would set it to non-blocking, which breaks its long messages."""
+
     def wait():
         with contextlib.suppress(EOFError, OSError, RuntimeError):  # the other side, or the loop, is over
             while True:
@@ -195,7 +196,7 @@
         self.parts, self.ringing, self.boxes = [], [], {}
         names, plans = list(boxes), {b.name: b for b in day.boxes}
         for n in range(0, len(names), BOXES_EACH):
-            own = {name: boxes[name] for name in names[n:n + BOXES_EACH]}
+            own = {name: boxes[name] for name in names[n : n + BOXES_EACH]}
             part = Part(loop, f"{folder}/seen-boxes{n}", day, own)
             self.parts.append(part)
             self.boxes |= {name: FarBox(part, name, plans[name].transport, port) for name, port in own.items()}
@@ -231,8 +232,9 @@
             await part.close()
             auditor.messages += part.skipped.result() if part.skipped.done() and not part.skipped.exception() else 0
         gc.disable()  # millions of small objects that stay: looking through them again and again takes minutes
-        merged = heapq.merge(*(heard(part.path) for part in self.parts), sorted(also, key=lambda line: line[0]),
-                             key=lambda line: line[0])
+        merged = heapq.merge(
+            *(heard(part.path) for part in self.parts), sorted(also, key=lambda line: line[0]), key=lambda line: line[0]
+        )
         for now, serial, place, way, data in merged:
             if serial < 0:
                 auditor.did(now, place, way)
--- a/thorndale/standins/audit.py
+++ b/thorndale/standins/audit.py
@@ -211,7 +211,7 @@
             arrived.pop(0)
         part = cold_from + (1 - cold_from) * (now - started) / warm_us
         most = multiple * part * window / setup_us
-        if len(arrived) > most + FALL_SLACK * most ** 0.5:
+        if len(arrived) > most + FALL_SLACK * most**0.5:
             self.broke(now, "cold kept", f"{name}: {len(arrived)} set-ups in {window / 1e6} s, {most:.0f} allowed")
             del self.cold[name]
 
--- a/thorndale/standins/callers.py
+++ b/thorndale/standins/callers.py
@@ -37,8 +37,20 @@
 class Try:
     """One INVITE and what comes of it."""
 
-    __slots__ = ("callers", "want", "tries", "tx", "dialog", "state", "sent_at", "timer", "transport", "tag", "proxy",
-                 "cancel_at")
+    __slots__ = (
+        "callers",
+        "want",
+        "tries",
+        "tx",
+        "dialog",
+        "state",
+        "sent_at",
+        "timer",
+        "transport",
+        "tag",
+        "proxy",
+        "cancel_at",
+    )
 
     def __init__(self, callers, want, tries, proxy, transport):
         self.callers, self.want, self.tries, self.proxy, self.transport = callers, want, tries, proxy, transport
@@ -65,8 +77,21 @@
 class Callers(Agent):
     """`ledger(now, event, try)` is told 'offered', 'stood', 'rejected', 'released', 'left', 'cut', 'no answer'."""
 
-    def __init__(self, loop, limits, port, kinds, proxies, chance, ledger, saw, times=None, cancel_part=0.0,
-                 redials=3, place="caller"):
+    def __init__(
+        self,
+        loop,
+        limits,
+        port,
+        kinds,
+        proxies,
+        chance,
+        ledger,
+        saw,
+        times=None,
+        cancel_part=0.0,
+        redials=3,
+        place="caller",
+    ):
         super().__init__(loop, limits, place, saw, times)
         self.listeners = [("udp", "127.0.0.1", port), ("tcp", "127.0.0.1", port)]
         self.kinds, self.proxies, self.chance, self.ledger = kinds, proxies, chance, ledger
@@ -93,13 +118,18 @@
         attempt.tag = branch[7:]
         tail = ";transport=tcp" if attempt.transport == "tcp" else ""
         message = Message("INVITE", f"sip:{want.number}@{host}:{port}{tail}", body=b"v=0\r\ns=caller\r\n")
-        for name, value in (("Via", via_text(attempt.transport, "127.0.0.1", self.port, branch)),
-                            ("Max-Forwards", "70"),
-                            ("From", f"<sip:{want.caller}@127.0.0.1>;tag={attempt.tag}"),
-                            ("To", f"<sip:{want.number}@{host}>"), ("Call-ID", attempt.tag), ("CSeq", "1 INVITE"),
-                            ("Contact", self.contact(attempt.transport)), ("Expires", str(patience)),
-                            ("Session-ID", f"{want.serial:032x};try={attempt.tries}"),
-                            ("Content-Type", "application/sdp")):
+        for name, value in (
+            ("Via", via_text(attempt.transport, "127.0.0.1", self.port, branch)),
+            ("Max-Forwards", "70"),
+            ("From", f"<sip:{want.caller}@127.0.0.1>;tag={attempt.tag}"),
+            ("To", f"<sip:{want.number}@{host}>"),
+            ("Call-ID", attempt.tag),
+            ("CSeq", "1 INVITE"),
+            ("Contact", self.contact(attempt.transport)),
+            ("Expires", str(patience)),
+            ("Session-ID", f"{want.serial:032x};try={attempt.tries}"),
+            ("Content-Type", "application/sdp"),
+        ):
             message.add(name, value)
         attempt.state, attempt.sent_at = "ringing", now
         self.trying.add(attempt)
--- a/thorndale/standins/day.py
+++ b/thorndale/standins/day.py
@@ -45,8 +45,11 @@
         port = PORTS_FROM + (port + 1 - PORTS_FROM) % PORTS
         if port in taken:
             continue
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp, \
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp, contextlib.suppress(OSError):
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+            contextlib.suppress(OSError),
+        ):
             tcp.bind(("127.0.0.1", port))
             udp.bind(("127.0.0.1", port))
             taken.add(port)
@@ -95,8 +98,12 @@
             raise DayError(f"the day takes {lacks}")
         loop.set_exception_handler(lambda _, context: self.faults.append(context))
         taken = set()
-        rules = {"release_us": 500_000, "drain_grace_us": 500_000, "fall_multiple": day.fall_multiple,
-                 "fall_us": day.fall_ms * 1000}
+        rules = {
+            "release_us": 500_000,
+            "drain_grace_us": 500_000,
+            "fall_multiple": day.fall_multiple,
+            "fall_us": day.fall_ms * 1000,
+        }
         work = {b.name: work_of(day, b) for b in day.boxes}
         self.auditor = Auditor(rules, {n: (w.setup_us, w.cold_from, w.warm_us) for n, w in work.items()})
         saw = self._later if self.apart else self._both if self.observer else self.auditor.saw
@@ -125,8 +132,9 @@
                     self.files[name] = f"{folder}/{name}.json5"
                     uris = [await self._way(name, box, taken) for box in self.boxes.values()]
                     with open(self.files[name], "w", encoding="utf-8") as file:
-                        json.dump(settings_of(day, n, port, uris, self.book.uri(), folder, self._fleet(name)), file,
-                                  indent=1)
+                        json.dump(
+                            settings_of(day, n, port, uris, self.book.uri(), folder, self._fleet(name)), file, indent=1
+                        )
                     with open(f"{folder}/{name}.rules", "w", encoding="utf-8") as file:
                         file.write(rules_of(day))
                     self.spawn(name)
@@ -170,8 +178,12 @@
         """{(a, b): where a reaches b} for proxies whose link has a fault; the relay stands there."""
         names = list(self.speaks)
         plans = [link for link in self.day.links if any(to in self.speaks for to in link.to)]
-        pairs = {(n, m) for n, a in enumerate(names) for m, b in enumerate(names)
-                 if n != m and any(link.sides(a, b) or link.sides(b, a) for link in plans)}
+        pairs = {
+            (n, m)
+            for n, a in enumerate(names)
+            for m, b in enumerate(names)
+            if n != m and any(link.sides(a, b) or link.sides(b, a) for link in plans)
+        }
         if not pairs:
             return {}
         if len(names) > PROXIES_MOST:
@@ -207,8 +219,11 @@
 
     def spawn(self, name):
         self.processes[name] = subprocess.Popen(
-            [*self.command, self.files[name]], stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL,
-            stderr=open(self.files[name] + ".err", "ab"))  # noqa: SIM115 - the child's own from now on
+            [*self.command, self.files[name]],
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+            stderr=open(self.files[name] + ".err", "ab"),  # noqa: SIM115 - the child's own from now on
+        )
 
     async def started(self, name):
         """Waits until the proxy says so in its log; False where it was killed before."""
@@ -319,8 +334,13 @@
                 await asyncio.sleep(span / AGE_STEPS)
             box.set("slowness", 1.0)
         else:
-            name = {"hangs": "mute", "loses answers": "lose_answers", "resets": "reset_part", "floods": "flood",
-                    "reports late": "report_late_us"}[kind]
+            name = {
+                "hangs": "mute",
+                "loses answers": "lose_answers",
+                "resets": "reset_part",
+                "floods": "flood",
+                "reports late": "report_late_us",
+            }[kind]
             size = int(fault.size * 1e6) if kind == "reports late" else fault.size
             box.set(name, size)
             await asyncio.sleep(span)
--- a/thorndale/standins/links.py
+++ b/thorndale/standins/links.py
@@ -51,9 +51,13 @@
 def overlaps(plans):
     """Pairs of places of plans that act on one direction of one link at one time with the same kind of fault: which of
     the two should hold could not be told."""
+
     def kinds(p):
-        return {name for name in ("lose", "double", "delay_ms", "jitter_ms", "cut", "reset", "bytes_per_s")
-                if getattr(p, name)}
+        return {
+            name
+            for name in ("lose", "double", "delay_ms", "jitter_ms", "cut", "reset", "bytes_per_s")
+            if getattr(p, name)
+        }
 
     for n, a in enumerate(plans):
         for m in range(n):
@@ -81,8 +85,11 @@
                 return []
             if plan.double and self.chance() < plan.double:
                 times = 2
-            at += plan.delay_ms * 1000 + int(self.chance() * plan.jitter_ms * 1000) if plan.jitter_ms else \
-                plan.delay_ms * 1000
+            at += (
+                plan.delay_ms * 1000 + int(self.chance() * plan.jitter_ms * 1000)
+                if plan.jitter_ms
+                else plan.delay_ms * 1000
+            )
             if plan.bytes_per_s:
                 self.free_at = max(self.free_at, at) + size * 1_000_000 // plan.bytes_per_s
                 at = self.free_at
--- a/thorndale/standins/parts.py
+++ b/thorndale/standins/parts.py
@@ -19,10 +19,17 @@
 
 def work_of(day, box):
     """The processor's Work of a planned box."""
-    return Work(setup_us=int(box.setup_ms * 1000), answer_us=int(box.setup_ms * 125),
-                release_us=int(box.setup_ms * 125), reject_us=int(box.setup_ms * 90), queue_us=day.queue_ms * 1000,
-                cold_from=day.cold_from, warm_us=day.warm_ms * 1000, fall_multiple=day.fall_multiple,
-                fall_us=day.fall_ms * 1000)
+    return Work(
+        setup_us=int(box.setup_ms * 1000),
+        answer_us=int(box.setup_ms * 125),
+        release_us=int(box.setup_ms * 125),
+        reject_us=int(box.setup_ms * 90),
+        queue_us=day.queue_ms * 1000,
+        cold_from=day.cold_from,
+        warm_us=day.warm_ms * 1000,
+        fall_multiple=day.fall_multiple,
+        fall_us=day.fall_ms * 1000,
+    )
 
 
 class Sorted:
@@ -45,14 +52,39 @@
         chance, times = draw(day.seed + 7919 * part), times_of(day)
         planned = {b.name: b for b in day.boxes}
         self.sorted = Sorted(day)
-        self.boxes = {name: Box(loop, LIMITS, name, planned[name].transport, port, work_of(day, planned[name]),
-                                planned[name].lines, chance, saw, times) for name, port in boxes.items()}
+        self.boxes = {
+            name: Box(
+                loop,
+                LIMITS,
+                name,
+                planned[name].transport,
+                port,
+                work_of(day, planned[name]),
+                planned[name].lines,
+                chance,
+                saw,
+                times,
+            )
+            for name, port in boxes.items()
+        }
         kinds = kinds_of(day)
         self.ledger = Ledger(day, kinds)
         self.callers = self.traffic = None
         if callers:
-            self.callers = Callers(loop, LIMITS, callers, kinds, list(proxies), chance, self.ledger, saw, times,
-                                   day.cancel_part, day.redials, f"caller:{part}x")
+            self.callers = Callers(
+                loop,
+                LIMITS,
+                callers,
+                kinds,
+                list(proxies),
+                chance,
+                self.ledger,
+                saw,
+                times,
+                day.cancel_part,
+                day.redials,
+                f"caller:{part}x",
+            )
             self.traffic = Traffic(day, self.callers, chance, calls, part, parts)
 
     def open(self):
@@ -82,10 +114,17 @@
         """Plain values: (counts, by second, set-up times; set-ups by box and second, waits by box; wrong types,
         editions; seconds of traffic; (connections held at most, opened) by box)."""
         book = self.ledger
-        return (dict(book.count), {s: dict(row) for s, row in book.per_second.items()}, book.lag,
-                {n: b.setups for n, b in self.boxes.items()}, {n: b.waits for n, b in self.boxes.items()},
-                self.sorted.wrong, dict(self.sorted.editions), self.traffic.seconds if self.traffic else 0.0,
-                {n: (b.held, b.opened) for n, b in self.boxes.items() if b.transport == "tcp"})
+        return (
+            dict(book.count),
+            {s: dict(row) for s, row in book.per_second.items()},
+            book.lag,
+            {n: b.setups for n, b in self.boxes.items()},
+            {n: b.waits for n, b in self.boxes.items()},
+            self.sorted.wrong,
+            dict(self.sorted.editions),
+            self.traffic.seconds if self.traffic else 0.0,
+            {n: (b.held, b.opened) for n, b in self.boxes.items() if b.transport == "tcp"},
+        )
 
     async def close(self):
         for agent in (self.callers, *self.boxes.values()):
--- a/thorndale/standins/platform.py
+++ b/thorndale/standins/platform.py
@@ -40,6 +40,7 @@
         async def run():
             await asyncio.sleep(wait)
             call(*values)
+
         task = asyncio.get_running_loop().create_task(run())
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -79,8 +80,10 @@
 
     def _state(self, writer):
         text = f"x0:{100 - len(self.standing)};x1:100;latency_ms:1"
-        writer.write(f"NOTIFY sip:peer@net SIP/2.0\r\nCall-ID: {self.name}\r\nCSeq: 1 NOTIFY\r\nLink-State: {text}\r\n"
-                     f"Content-Length: 0\r\n\r\n".encode())
+        writer.write(
+            f"NOTIFY sip:peer@net SIP/2.0\r\nCall-ID: {self.name}\r\nCSeq: 1 NOTIFY\r\nLink-State: {text}\r\n"
+            f"Content-Length: 0\r\n\r\n".encode()
+        )
 
     def _take(self, m, writer):
         if m.status or self.hang:
@@ -112,8 +115,10 @@
         writer = self.standing.pop(call, None)
         if writer is None:
             return
-        text = (f"BYE sip:peer@net SIP/2.0\r\nCall-ID: {call}\r\nCSeq: 9 BYE\r\nReason: Q.850;cause={cause}\r\n"
-                f"Content-Length: 0\r\n\r\n").encode()
+        text = (
+            f"BYE sip:peer@net SIP/2.0\r\nCall-ID: {call}\r\nCSeq: 9 BYE\r\nReason: Q.850;cause={cause}\r\n"
+            f"Content-Length: 0\r\n\r\n"
+        ).encode()
         writer = writer if writer in self.open else next(iter(self.open), None)
         if writer is None:
             self.unsent.append(text)
@@ -122,8 +127,10 @@
 
 
 def _reply(m, status, body=b""):
-    return (f"SIP/2.0 {status} {message.REASONS.get(status, 'X')}\r\nCall-ID: {m.call_id}\r\nCSeq: {m.get('cseq')}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+    return (
+        f"SIP/2.0 {status} {message.REASONS.get(status, 'X')}\r\nCall-ID: {m.call_id}\r\nCSeq: {m.get('cseq')}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
 
 
 class ControlFeed(Peer):
@@ -135,8 +142,10 @@
 
     def add(self, kind, *records):
         """An event with records of (id, host, port, state, pool, started in ms)."""
-        data = b"".join(struct.pack(">I4sHBBBHIQ", name, bytes(map(int, host.split("."))), port, state, 0, 0, pool,
-                                    1000, started) for name, host, port, state, pool, started in records)
+        data = b"".join(
+            struct.pack(">I4sHBBBHIQ", name, bytes(map(int, host.split("."))), port, state, 0, 0, pool, 1000, started)
+            for name, host, port, state, pool, started in records
+        )
         number = len(self.frames) + 1
         self.frames.append(struct.pack(">IQB", 9 + len(data), number, kind) + data)
         if not self.mute:
@@ -176,9 +185,17 @@
 
     def setup(self, call, kind=b"timetable", within=1200, figures=b"dest:0;width:1;via:-1", body=BODY, number=None):
         number = (number or call.hex()).encode()
-        self.writer.write(isup.encode(
-            isup.SETUP, call, (isup.TYPE, kind), (isup.WITHIN, b"%d" % within), (isup.NUMBER, number),
-            (isup.FIGURES, figures), (isup.DESCRIPTION, body)))
+        self.writer.write(
+            isup.encode(
+                isup.SETUP,
+                call,
+                (isup.TYPE, kind),
+                (isup.WITHIN, b"%d" % within),
+                (isup.NUMBER, number),
+                (isup.FIGURES, figures),
+                (isup.DESCRIPTION, body),
+            )
+        )
         return call
 
     async def test(self):
@@ -207,9 +224,28 @@
 
 def configuration(listen, feed, servers, settings, sockets=256):
     """The text of a border proxy's configuration; `servers` are CentralServers, their pools in this order."""
-    hosts = [{"host": s.name, "dial": f"{s.host}:{s.port}", "site": "east", "class": "std", "block": n, "share": 1,
-              "health": "Ready", "born_ms": 0} for n, s in enumerate(servers)]
+    hosts = [
+        {
+            "host": s.name,
+            "dial": f"{s.host}:{s.port}",
+            "site": "east",
+            "class": "std",
+            "block": n,
+            "share": 1,
+            "health": "Ready",
+            "born_ms": 0,
+        }
+        for n, s in enumerate(servers)
+    ]
     known = {"n": 1, "events": [{"n": 1, "members": {"seq": 0, "whole": True, "hosts": hosts}}]}
-    return json.dumps({
-        "name": "n0", "listen": listen, "seed": "8c1f30d27a5be964", "feed": f"{feed.host}:{feed.port}", "known": known,
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets}, "settings": settings})
+    return json.dumps(
+        {
+            "name": "n0",
+            "listen": listen,
+            "seed": "8c1f30d27a5be964",
+            "feed": f"{feed.host}:{feed.port}",
+            "known": known,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "settings": settings,
+        }
+    )
--- a/thorndale/standins/relay.py
+++ b/thorndale/standins/relay.py
@@ -39,13 +39,16 @@
         return now_us() - self.began
 
     async def open(self, proxy, other, transport, port, target):
-        lines = {"out": Line(self.plans, proxy, other, self.chance),
-                 "back": Line(self.plans, other, proxy, self.chance)}
+        lines = {
+            "out": Line(self.plans, proxy, other, self.chance),
+            "back": Line(self.plans, other, proxy, self.chance),
+        }
         if transport == "udp":
             self._udp(lines, port, target)
         else:
             server = await asyncio.start_server(
-                lambda reader, writer: self._tcp(lines, reader, writer, target), "127.0.0.1", port)
+                lambda reader, writer: self._tcp(lines, reader, writer, target), "127.0.0.1", port
+            )
             self.servers.append(server)
 
     def between(self, port, targets, pairs):
@@ -74,8 +77,13 @@
             line = lines.get((a, b))
             if line is not None:
                 source = struct.pack("@i4s4s", 0, bytes((127, b + 1, a + 1, 9)), bytes(4))
-                self._carry(line, lambda d, b=b, source=source: sock.sendmsg(
-                    [d], [(socket.IPPROTO_IP, IP_PKTINFO, source)], 0, targets[b]), data)
+                self._carry(
+                    line,
+                    lambda d, b=b, source=source: sock.sendmsg(
+                        [d], [(socket.IPPROTO_IP, IP_PKTINFO, source)], 0, targets[b]
+                    ),
+                    data,
+                )
 
     # ---- datagrams ----
 
@@ -88,8 +96,9 @@
             sock.setblocking(False)
             self.sockets.append(sock)
         self.loop.add_reader(near.fileno(), self._datagrams, near, lines["out"], lambda d: far.sendto(d, target), peer)
-        self.loop.add_reader(far.fileno(), self._datagrams, far, lines["back"],
-                             lambda d: peer[0] and near.sendto(d, peer[0]), None)
+        self.loop.add_reader(
+            far.fileno(), self._datagrams, far, lines["back"], lambda d: peer[0] and near.sendto(d, peer[0]), None
+        )
 
     def _datagrams(self, sock, line, send, peer):
         for _ in range(64):
@@ -129,9 +138,11 @@
             self._reset(writer)
             return
         both = (writer, far_writer)
-        ends = [self.loop.create_task(self._pump(lines["out"], reader, far_writer)),
-                self.loop.create_task(self._pump(lines["back"], far_reader, writer)),
-                self.loop.create_task(self._watch(lines))]
+        ends = [
+            self.loop.create_task(self._pump(lines["out"], reader, far_writer)),
+            self.loop.create_task(self._pump(lines["back"], far_reader, writer)),
+            self.loop.create_task(self._watch(lines)),
+        ]
         self.tasks.update(ends)
         try:
             await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
--- a/thorndale/standins/script.py
+++ b/thorndale/standins/script.py
@@ -10,9 +10,28 @@
 from thorndale.standins.links import LinkPlan, overlaps
 
 Us = Annotated[float, Meta(gt=0)]
-KINDS = ("dies", "drains", "slow", "hangs", "ages", "loses answers", "resets", "reports late", "floods", "proxy killed",
-         "proxy stopped", "burst", "one proxy", "book lost", "book muddled", "book late to proxy",
-         "reports lost to proxy", "reports stuck at proxy", "rules of proxy", "rules of proxy cut off")
+KINDS = (
+    "dies",
+    "drains",
+    "slow",
+    "hangs",
+    "ages",
+    "loses answers",
+    "resets",
+    "reports late",
+    "floods",
+    "proxy killed",
+    "proxy stopped",
+    "burst",
+    "one proxy",
+    "book lost",
+    "book muddled",
+    "book late to proxy",
+    "reports lost to proxy",
+    "reports stuck at proxy",
+    "rules of proxy",
+    "rules of proxy cut off",
+)
 ALL = "all"  # in place of names: all boxes, or all proxies
 
 
@@ -102,8 +121,12 @@
         if fault.who == [ALL]:
             fault.who = sorted(proxies if "proxy" in fault.kind else boxes)
         for m, other in enumerate(day.faults[:n]):
-            if other.kind == fault.kind and (set(other.who) & set(fault.who) or not fault.who) \
-                    and fault.at < other.at + other.seconds and other.at < fault.at + fault.seconds:
+            if (
+                other.kind == fault.kind
+                and (set(other.who) & set(fault.who) or not fault.who)
+                and fault.at < other.at + other.seconds
+                and other.at < fault.at + fault.seconds
+            ):
                 faults.append(f"faults[{n}]: overlaps faults[{m}]: {fault.kind!r} is in force there already")
         if fault.kind not in KINDS:
             faults.append(f"faults[{n}].kind: {fault.kind!r} is none of {', '.join(KINDS)}")
@@ -128,6 +151,7 @@
 
     Raises ConfigError.
     """
+
     def raw(name):
         with open(name, encoding="utf-8") as text:
             found = pyjson5.decode(text.read())
@@ -147,8 +171,11 @@
 def settings_of(day, number, port, boxes, book_uri, folder, fleet=None):
     """The settings file of one proxy of the day, as a map. `fleet`: its own place and those of all, by name."""
     groups = list(dict.fromkeys(b.trunk_group for b in day.boxes))
-    records = {"records": {"folder": f"{folder}/proxy{number + 1}.records", "answer": day.records,
-                           "segment_bytes": 1 << 20}} if day.records else {}
+    records = (
+        {"records": {"folder": f"{folder}/proxy{number + 1}.records", "answer": day.records, "segment_bytes": 1 << 20}}
+        if day.records
+        else {}
+    )
     members = [{"name": n, "at": at} for n, at in fleet[1].items()] if fleet else []
     told = {"fleet": {"listen": fleet[0], "members": members}} if fleet else {}
     return {
@@ -158,17 +185,34 @@
         "instances": day.proxies,
         "listen": [f"udp:127.0.0.1:{port}", f"tcp:127.0.0.1:{port}"],
         "trunk_groups": [{"name": g} for g in groups],
-        "servers": [{"name": b.name, "uri": uri, "trunk_group": b.trunk_group}
-                    for b, uri in zip(day.boxes, boxes, strict=True)],
-        "sites": [{"name": s.name, "trunk_groups": s.trunk_groups, "outside_per_s": s.outside_per_s}
-                  for s in day.sites],
-        "call_types": [{"name": t.name, "setup_target_ms": t.setup_target_ms, "guard_ms": t.guard_ms,
-                        "hold_ms": t.hold_ms, "revenue": t.revenue, "late_part": 0.25, "trunk_groups": groups}
-                       for t in day.types],
+        "servers": [
+            {"name": b.name, "uri": uri, "trunk_group": b.trunk_group} for b, uri in zip(day.boxes, boxes, strict=True)
+        ],
+        "sites": [
+            {"name": s.name, "trunk_groups": s.trunk_groups, "outside_per_s": s.outside_per_s} for s in day.sites
+        ],
+        "call_types": [
+            {
+                "name": t.name,
+                "setup_target_ms": t.setup_target_ms,
+                "guard_ms": t.guard_ms,
+                "hold_ms": t.hold_ms,
+                "revenue": t.revenue,
+                "late_part": 0.25,
+                "trunk_groups": groups,
+            }
+            for t in day.types
+        ],
         "matching": {"file": f"proxy{number + 1}.rules"},
         "book": {"uri": book_uri, "file": f"{folder}/proxy{number + 1}.book", "expires_s": 20},
-        "rules": {"release_ms": 500, "drain_grace_ms": 500, "start_capacity": min(0.28, day.cold_from),
-                  "warm_up_ms": day.warm_ms, "fall_multiple": day.fall_multiple, "fall_ms": day.fall_ms},
+        "rules": {
+            "release_ms": 500,
+            "drain_grace_ms": 500,
+            "start_capacity": min(0.28, day.cold_from),
+            "warm_up_ms": day.warm_ms,
+            "fall_multiple": day.fall_multiple,
+            "fall_ms": day.fall_ms,
+        },
         "sip": {"t1_ms": day.t1_ms, "t2_ms": 8 * day.t1_ms, "t4_ms": 10 * day.t1_ms},
         "stop": {"calls_ms": 3000, "quit_ms": 70 * day.t1_ms},
         "log": {"level": "info", "file": f"{folder}/proxy{number + 1}.log"},
@@ -179,7 +223,12 @@
     """The rules by which the day's calls are sorted: a type by its prefix, a trunk group by the digit after it. What
     they made of a call goes out as X-Sorted, so that it can be seen at the boxes."""
     groups = list(dict.fromkeys(b.trunk_group for b in day.boxes))
-    return "\n".join(
-        f'rule "{t.name} {group}" {{ when prefix(number, "{t.prefix}{digit}") type {t.name} group "{group}" '
-        f'header "X-Sorted" = "{t.name} {edition}" }}'
-        for t in day.types for digit, group in zip("0123456789", groups, strict=False)) + "\n"
+    return (
+        "\n".join(
+            f'rule "{t.name} {group}" {{ when prefix(number, "{t.prefix}{digit}") type {t.name} group "{group}" '
+            f'header "X-Sorted" = "{t.name} {edition}" }}'
+            for t in day.types
+            for digit, group in zip("0123456789", groups, strict=False)
+        )
+        + "\n"
+    )
--- a/thorndale/standins/traffic.py
+++ b/thorndale/standins/traffic.py
@@ -8,8 +8,19 @@
 
 
 def kinds_of(day):
-    return [Kind(t.name, t.prefix, t.part, t.setup_target_ms * 1000, t.guard_ms * 1000, t.patience_s, t.hold_ms * 1000,
-                 t.revenue) for t in day.types]
+    return [
+        Kind(
+            t.name,
+            t.prefix,
+            t.part,
+            t.setup_target_ms * 1000,
+            t.guard_ms * 1000,
+            t.patience_s,
+            t.hold_ms * 1000,
+            t.revenue,
+        )
+        for t in day.types
+    ]
 
 
 def draw(seed):
