A refusal from further down a chain is the next proxy's business alone

Change: Onward (181 Call Is Being Forwarded) ends what is held against the server and its wait; a refusal after it, or marked with location=BI in its Reason (RFC 8606), is final, spends no budget and skips no server. Written and heeded on SIP where the new setting chained is on, off by default; the platform's front knows neither.

--- a/tests/platform/test_platform_border.py
+++ b/tests/platform/test_platform_border.py
@@ -458,3 +458,16 @@
     assert set(rig.core.centrals) == {"s-0000000a", "s-0000000b"} == {c.name for c in rig.core.by_index.values()}
     assert not rig.core.calls and len(rig.core.door) == 0 and len(rig.core.links) <= 8
     assert len(rig.core.timers) < 20
+
+
+def test_marks_of_a_chain_mean_nothing_on_this_platform():
+    """Its pages give progress no meaning and refusals no place: neither is told to the module, and none is written."""
+    rig = Rig()
+    rig.up()
+    rig.setup()
+    key, invite = rig.last_invite()
+    rig.answer(key, invite, 181)
+    rig.answer(key, invite, 503, extra="Fail-Word: throttled\r\nReason: Q.850;cause=42;location=BI\r\n")
+    ends = [e for e in rig.told if type(e) is io.Ended]
+    assert [(e.outcome, e.beyond) for e in ends] == [(io.FULL, False)]
+    assert not any(type(e) is io.Onward for e in rig.told)
--- a/tests/sip/test_message.py
+++ b/tests/sip/test_message.py
@@ -238,6 +238,10 @@
 
 
 def test_reasons_and_waits():
-    assert h.parse_reasons(['SIP;cause=200;text="x, y"', "Q.850 ;cause=34"]) == {"sip": 200, "q.850": 34}
+    assert h.parse_reasons(['SIP;cause=200;text="x, y"', "Q.850 ;cause=34"]) == {
+        "sip": h.Reason(200),
+        "q.850": h.Reason(34),
+    }
     assert h.parse_reasons(['"', "Q.850;cause=x"]) == {}
+    assert h.parse_reasons(["Q.850;cause=42;location=bi"]) == {"q.850": h.Reason(42, "BI")}
     assert h.parse_retry_after("18000 (in a meeting);duration=3600") == 18000 and h.parse_retry_after("soon") == 0
--- a/thorndale/call/border.py
+++ b/thorndale/call/border.py
@@ -71,6 +71,7 @@
         `ledger` a records.Ledger, or None where no records are kept; `hide(number)` what they keep of a caller's."""
         sip = settings.sip
         self.settings, self.instances, self.load_header = settings, settings.instances, settings.load_header.lower()
+        self.chained = settings.chained
         self.trunk_context = sip.trunk_context
         self._send, self._say = send, say
         self.now, self.state = 0, seed & MASK
--- a/thorndale/call/call.py
+++ b/thorndale/call/call.py
@@ -20,6 +20,7 @@
 from thorndale.sip.dialog import Dialog
 
 CALLER, BOX = 0, 1
+FORWARDED = 181  # Call Is Being Forwarded (RFC 3261): the server has carried the call on
 
 
 class Call:
@@ -106,6 +107,8 @@
 
     def reject(self, now, comeback_us):
         extra = causes.comeback(comeback_us)
+        if self.border.chained:
+            extra.append(causes.reason(causes.Q850_CONGESTION, True))
         self._answer(now, 503, extra, "rejected")
 
     def fail(self, now):
@@ -118,7 +121,7 @@
             self._answer(now, message.status, extra, "released", message.reason)
             return
         status, cause = causes.GIVEN_UP.get(self.outcome, causes.NEVER_SEIZED)
-        self._answer(now, status, [causes.reason(cause)], "released")
+        self._answer(now, status, [causes.reason(cause, self.border.chained)], "released")
 
     def _answer(self, now, status, extra, how, reason=""):
         """The one final answer that is not a 200."""
@@ -137,14 +140,14 @@
 
         self.border.ledger.refused(now, self._record(now, how, by, status), then)
 
-    def _told(self, now, outcome, final=False, wait_us=0, report=None):
+    def _told(self, now, outcome, final=False, wait_us=0, report=None, beyond=False):
         """The one end of the seizure, to the module."""
         self.outcome = outcome
         seizure = self.seizure
         lag = seizure.lag(now) if seizure.sent_at else 0
         number, server = seizure.number, seizure.server
         self.told.append((server, outcome, seizure.sent_at, lag))
-        self.border.door.tell(io.Ended(self.index, number, server, outcome, wait_us, lag, final, report))
+        self.border.door.tell(io.Ended(self.index, number, server, outcome, wait_us, lag, final, report, beyond))
 
     # ---- being set up: what the seizure tells ----
 
@@ -153,6 +156,8 @@
         report = report_of(message, self.border.load_header, self.border.instances)
         if report is not None:
             self.border.door.tell(io.Seen(seizure.server, report, False))
+        if message.status == FORWARDED and self.border.chained and seizure.state == "out":
+            self.border.door.tell(io.Onward(self.index, seizure.number, seizure.server, seizure.lag(now)))
         if message.status > 100 and self.state == "setting up":
             extra = passed(message, self.border.load_header)
             extra.append(("Contact", self.border.contact(self.tx.hop)))
@@ -189,8 +194,9 @@
 
     def refused(self, now, seizure, message):
         self.refusal = message
-        outcome, wait_us = causes.refusal(message)
-        self._told(now, outcome, False, wait_us, report_of(message, self.border.load_header, self.border.instances))
+        outcome, wait_us, beyond = causes.refusal(message)
+        report = report_of(message, self.border.load_header, self.border.instances)
+        self._told(now, outcome, False, wait_us, report, beyond and self.border.chained)
         self.border.say(
             "debug",
             "seizure ended",
--- a/thorndale/call/causes.py
+++ b/thorndale/call/causes.py
@@ -1,48 +1,53 @@
 """What a response means to the module, and what the module's answers mean on the wire.
 
-Q.850 causes come in Reason header fields (RFC 3326, RFC 6432).
+Q.850 causes come in Reason header fields (RFC 3326, RFC 6432), with the place where they arose (RFC 8606).
 """
 
 from typing import NamedTuple
 
 from thorndale import interface as io
-from thorndale.sip.headers import parse_reasons, parse_retry_after
+from thorndale.sip.headers import Reason, parse_reasons, parse_retry_after
 
 Q850_NO_CIRCUIT = 34  # no circuit/channel available
 Q850_CONGESTION = 42  # switching equipment congestion
 Q850_NORMAL = (16, 31)  # normal call clearing; normal, unspecified
+LOCATION_BEYOND = "BI"  # RFC 8606, Q.850: network beyond interworking point
+NO_REASON = Reason(0)
 
 
 class Refusal(NamedTuple):
-    """A seizure's end by a response: the outcome, and the wait that the box names, in us."""
+    """A seizure's end by a response: the outcome, and the wait that the box names, in us. `beyond`: the response says
+    that it arose further down, where a border proxy refused the call that the box carried on."""
 
     outcome: int
     wait_us: int
+    beyond: bool
 
 
 def refusal(response):
-    """The outcome of a final response of 300 and above to a seizure.
+    """The Refusal of a final response of 300 and above to a seizure.
 
     Answers that are about the number, not about the server (busy, unknown, forbidden, a redirection) are final for
     the call and tell that the server is sound: BUSY. 487 that nobody asked for, and 408 and 5xx, are the server's
     faults, told apart by Reason and Retry-After.
     """
     status = response.status
-    if status in (408, 487) or 500 <= status < 600:
-        if status == 503:
-            cause = parse_reasons(response.all("reason")).get("q.850", 0)
-            wait = parse_retry_after(response.get("retry-after")) * 1_000_000
-            if cause == Q850_NO_CIRCUIT:
-                return Refusal(io.EMPTY, 0)
-            if cause == Q850_CONGESTION or wait:
-                return Refusal(io.FULL, wait)
-        return Refusal(io.FAULTY, 0)
-    return Refusal(io.BUSY, 0)
+    if status not in (408, 487) and not 500 <= status < 600:
+        return Refusal(io.BUSY, 0, False)
+    reason = parse_reasons(response.all("reason")).get("q.850", NO_REASON)
+    beyond = reason.location == LOCATION_BEYOND
+    if status == 503:
+        wait = parse_retry_after(response.get("retry-after")) * 1_000_000
+        if reason.cause == Q850_NO_CIRCUIT:
+            return Refusal(io.EMPTY, 0, beyond)
+        if reason.cause == Q850_CONGESTION or wait:
+            return Refusal(io.FULL, wait, beyond)
+    return Refusal(io.FAULTY, 0, beyond)
 
 
 def release(bye):
     """The outcome of a standing call that its box ends: COMPLETED, or RESET where a Reason says it was cut."""
-    cause = parse_reasons(bye.all("reason")).get("q.850", 0)
+    cause = parse_reasons(bye.all("reason")).get("q.850", NO_REASON).cause
     return io.RESET if cause and cause not in Q850_NORMAL else io.COMPLETED
 
 
@@ -81,5 +86,7 @@
     return [("Retry-After", str(seconds))] if seconds > 0 else []
 
 
-def reason(cause):
-    return ("Reason", f"Q.850;cause={cause}")
+def reason(cause, beyond=False):
+    """A Reason header field. `beyond`: to whoever reads it, the cause arose beyond the next server."""
+    location = f";location={LOCATION_BEYOND}" if beyond else ""
+    return ("Reason", f"Q.850;cause={cause}{location}")
--- a/thorndale/config/settings.py
+++ b/thorndale/config/settings.py
@@ -176,6 +176,7 @@
     sites: list[Site] = []
     over_quota_part: Share = 1.0
     load_header: str = "X-Load"
+    chained: bool = False  # servers carry calls on through border proxies of their own (docs/chains.md)
     book: Book | None = None
     records: Records | None = None
     fleet: Fleet | None = None
--- a/thorndale/interface.py
+++ b/thorndale/interface.py
@@ -65,8 +65,19 @@
     lag_us: int
 
 
+class Onward(NamedTuple):
+    """The server has done its own part of a set-up and carries the call on: what the seizure waits for from now on lies
+    beyond that server."""
+
+    call: int
+    seizure: int
+    server: int
+    lag_us: int
+
+
 class Ended(NamedTuple):
-    """The one end of a seizure. `final`: the call has its answer already."""
+    """The one end of a seizure. `final`: the call has its answer already. `beyond`: the server carried the call on, and
+    the refusal arose further down, where the proxy next to it has made what retries there may be."""
 
     call: int
     seizure: int
@@ -76,6 +87,7 @@
     lag_us: int
     final: bool
     report: Report | None
+    beyond: bool = False
 
 
 class Left(NamedTuple):
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -50,6 +50,7 @@
 QUOTA_US = 1_000_000  # us of a client's quota part that may come at once
 FAULT_ODDS = 0.3  # chance of a fault at a sound server: callers may send this many that no server can use
 LOST = (io.RESET, io.UNREACHABLE)  # outcomes that a sound server seldom gives
+REFUSED = (io.FULL, io.EMPTY, io.FAULTY, io.BUSY)  # outcomes that a server answers with
 CUTS_US = 100_000  # us within which a second call cut at a server tells of more than chance
 TURN_MOST = 1.0  # calls that a server can be owed or ahead by in its pool: more, and its return is a herd
 IDLE_US = 1_000  # us of told wait over the least told from which a processor was found at work
@@ -83,8 +84,8 @@
 class Held:
     """A call that this proxy owes an answer."""
     __slots__ = ("call", "kind", "client", "pool", "key", "redial", "first", "revenue", "came", "last",
-                 "sent", "out", "server", "failed_at", "lack", "resume", "release", "right", "stood", "want",
-                 "arg")
+                 "sent", "out", "server", "failed_at", "lack", "resume", "release", "right", "stood", "onward",
+                 "want", "arg")
 
     def __init__(self, event, now):
         self.call, self.kind, self.client, self.pool = event.call, event.call_type, event.client, event.pool
@@ -94,6 +95,7 @@
         self.sent, self.out, self.server, self.failed_at = 0, -1, -1, -1
         self.resume = self.release = self.right = 0  # right: until when a retry may go, or ASK, ASKED
         self.revenue, self.stood, self.lack = 0.0, False, True  # lack: it is given back for want of room
+        self.onward = False  # the seizure that is out has been carried on by its server
         self.want, self.arg = "new", 0
 
 
@@ -117,7 +119,7 @@
         self.trial = int(TRIAL_PART * self.limit)
         self.on = {io.Servers: self._servers, io.Call: self._call, io.Stood: self._stood, io.Left: self._left,
                    io.Ended: self._ended, io.Seen: self._seen, io.ListFailed: self._list_failed,
-                   io.Right: self._right, io.Word: self._word}
+                   io.Right: self._right, io.Word: self._word, io.Onward: self._onward}
 
     def handle(self, now, events):
         self.now = now
@@ -305,6 +307,22 @@
         return True
 
     def _stood(self, event):
+        held = self.calls.get(event.call)
+        mine = held is not None and held.out == event.seizure
+        if not (mine and held.onward):
+            self._answered(event)
+        if mine:
+            held.stood = True
+
+    def _onward(self, event):
+        """The server has carried the call on, so what comes later is told of those beyond it. Guards against
+        taking their waits and refusals, at every hop of a chain, for the next server's own."""
+        held = self.calls.get(event.call)
+        if held is not None and held.out == event.seizure and not held.onward:
+            held.onward = True
+            self._answered(event)
+
+    def _answered(self, event):
         s = event.server
         sent = self.out[s].pop(event.call, None)
         self.least[s] = min(self.least[s], event.lag_us)
@@ -318,46 +336,48 @@
             self._observe(s, event.lag_us - self.least[s], sent)
         self._outcome(s, False)
         self.silent[s] = 0
-        held = self.calls.get(event.call)
-        if held and held.out == event.seizure:
-            held.stood = True
 
     def _ended(self, event):
         s, held = event.server, self.calls.get(event.call)
+        beyond = event.beyond or held is not None and held.out == event.seizure and held.onward
+        beyond = beyond and event.outcome in REFUSED
+        outcome = io.BUSY if beyond else event.outcome  # it answered: what lies behind it is not its fault
         sent = self.out[s].pop(event.call, None)
         if event.report:
             self._report(s, event.report)
-        late = event.outcome in (io.TIMED_OUT, io.CANCELLED)  # cancelled only when its caller gives up
-        alone = event.outcome == io.RESET and sent is None and self.now > self.cut_at[s] + CUTS_US
+        late = outcome in (io.TIMED_OUT, io.CANCELLED)  # cancelled only when its caller gives up
+        alone = outcome == io.RESET and sent is None and self.now > self.cut_at[s] + CUTS_US
         if alone:  # a call that stood was cut, with no other: go elsewhere where there is room, no more
             self.cut_at[s], self.skip_until[s] = self.now, self.now + SKIP_US
-        elif late and sent and event.lag_us >= self.limit and not self.held_up or event.outcome in LOST:
+        elif late and sent and event.lag_us >= self.limit and not self.held_up or outcome in LOST:
             self._outcome(s, True)  # late but overtaken, it was held against the share lost already
         if late and sent and self.wait_at[s] > sent:
             self.loss[s] += (1 - self.loss[s]) * LOSS_PART
         elif late and sent and event.lag_us > self._wait(s) and self.loss[s] < LOSSY:
             self._observe(s, event.lag_us, sent)
-        if event.outcome in (io.FULL, io.BUSY, io.FAULTY):
+        if outcome in (io.FULL, io.BUSY, io.FAULTY):
             self.silent[s] = 0
-        if event.outcome == io.FAULTY:  # it may be the call's own, and was answered
+        if outcome == io.FAULTY:  # it may be the call's own, and was answered
             self._outcome(s, True, self.faults[s])
             self.faults[s] += (1 - self.faults[s]) * FAULT_PART
-        if event.outcome == io.FULL:
+        if outcome == io.FULL:
             self._observe(s, max(self._wait(s), event.wait_us, 2 * self.limit), self.now)
-        if event.outcome == io.EMPTY:
+        if outcome == io.EMPTY:
             self.empty_until[s] = self.now + SKIP_US
-        if event.outcome == io.FULL or event.outcome == io.TIMED_OUT and sent and self.wait_at[s] <= sent:
+        if outcome == io.FULL or outcome == io.TIMED_OUT and sent and self.wait_at[s] <= sent:
             self.skip_until[s] = self.now + SKIP_US  # unless a later one was answered: it was lost alone
         if held is None or held.out != event.seizure:
             return
         if event.final:
             del self.calls[event.call]
             return
-        held.out, held.stood, held.failed_at = -1, False, s
-        held.lack = event.outcome in (io.FULL, io.EMPTY)
-        if event.outcome in (io.TIMED_OUT, io.RESET, io.CANCELLED):
+        held.out, held.stood, held.onward, held.failed_at = -1, False, False, s
+        held.lack = outcome in (io.FULL, io.EMPTY)
+        if outcome in (io.TIMED_OUT, io.RESET, io.CANCELLED):
             held.release = self.now + self.settings["release_us"]
-        held.want = "fail" if event.outcome in (io.COMPLETED, io.BUSY) else "again"
+        held.want = "fail" if outcome in (io.COMPLETED, io.BUSY) else "again"
+        if beyond and event.outcome in (io.FULL, io.EMPTY):  # harmless to try again, but not from here
+            held.want = "reject"
         self.touched.append(held)
 
     def _word(self, event):
--- a/thorndale/sip/headers.py
+++ b/thorndale/sip/headers.py
@@ -209,16 +209,25 @@
     return min(int(digits[:end][:9]), (1 << 31) - 1) if end else 0
 
 
+class Reason(NamedTuple):
+    """One Reason value (RFC 3326). `location`: where a Q.850 cause arose (RFC 8606), '' where it does not say."""
+
+    cause: int
+    location: str = ""
+
+
 def parse_reasons(values):
-    """protocol: cause of Reason values (RFC 3326), the protocol in lower case; unreadable ones are left out."""
+    """protocol: Reason, the protocol in lower case; unreadable ones are left out."""
     found = {}
     for value in values:
         try:
             for part in split_list(value):
                 protocol, _, rest = part.partition(";")
-                cause = parse_params(rest).get("cause", "")
+                parameters = parse_params(rest)
+                cause = parameters.get("cause", "")
                 if cause.isascii() and cause.isdigit() and len(cause) < 5:
-                    found.setdefault(protocol.strip().lower(), int(cause))
+                    reason = Reason(int(cause), parameters.get("location", "").upper())
+                    found.setdefault(protocol.strip().lower(), reason)
         except SipError:
             continue
     return found
