--- a/tests/standins/test_audit.py
+++ b/tests/standins/test_audit.py
@@ -1,8 +1,10 @@
 """The auditor is seen to judge: five proxies with one fault each, real processes, each named by its rule."""
 
+import asyncio
 import multiprocessing
 import os
 import sys
+import time
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 
@@ -11,6 +13,7 @@
 from thorndale.standins.audit import RULES, Auditor
 from thorndale.standins.day import exit_code, leaks, play
 from thorndale.standins.processor import Processor, Work
+from thorndale.standins.pulse import Pulse
 from thorndale.standins.script import Fault, read_file
 
 BROKEN = os.path.join(os.path.dirname(__file__), "broken.py")
@@ -221,3 +224,48 @@
     slow = Processor(work, 0, False)
     slow.slowness = 3.0
     assert slow.setup(0) == 30_000 and slow.wait(10_000) == 20_000
+
+
+@pytest.mark.parametrize(
+    ("still_ms", "place", "answered_ms", "broken"),
+    [
+        ((3_040, 3_310), "caller", 3_300, False),  # it may have come at 3,040, within the slack of 250
+        ((3_260, 3_310), "caller", 3_300, True),  # it came at 3,260 at the earliest, ten too late
+        ((3_040, 3_299), "caller", 3_300, True),  # the loop was back before it was read
+        ((3_301, 3_600), "caller", 3_300, True),  # it stood still only afterwards
+        ((3_040, 3_310), "caller:other", 3_300, True),  # somebody else's loop
+        ((100, 3_000), "caller", 3_300, True),  # long before
+    ],
+)
+def test_a_stand_still_of_the_callers_own_loop_counts_by_its_measured_span_alone(still_ms, place, answered_ms, broken):
+    judge = auditor()
+    judge.saw(0, "caller", "out", caller())
+    judge.saw(answered_ms * MS, "caller", "in", response("z9hG4bKa", 486))
+    judge.saw(still_ms[1] * MS, place, "still", str(still_ms[0] * MS).encode())
+    assert bool(judge.finish(10_000 * MS)) == broken
+
+
+@pytest.mark.parametrize(("second_began_ms", "broken"), [(3_300, False), (3_301, True)])
+def test_stand_stills_without_a_pause_between_them_are_one(second_began_ms, broken):
+    judge = auditor()
+    judge.saw(0, "caller", "out", caller())
+    for began, ended in ((3_040, 3_300), (second_began_ms, 3_400)):
+        judge.saw(ended * MS, "caller", "still", str(began * MS).encode())
+    judge.saw(3_380 * MS, "caller", "in", response("z9hG4bKa", 486))
+    assert bool(judge.finish(10_000 * MS)) == broken
+
+
+def test_a_loop_that_stands_still_is_measured():
+    async def scene():
+        seen = []
+        pulse = Pulse(asyncio.get_running_loop(), ["caller"], lambda *line: seen.append(line))
+        await asyncio.sleep(0.03)
+        quiet, began = len(seen), time.monotonic()
+        time.sleep(0.12)
+        await asyncio.sleep(0.02)
+        pulse.stop()
+        return quiet, began, seen
+
+    quiet, began, seen = asyncio.run(scene())
+    long = [(ended - int(data)) // 1000 for ended, place, way, data in seen if way == "still" and place == "caller"]
+    assert quiet <= 1 and max(long) >= 115 and int(seen[-1][3]) <= (began + 0.01) * 1e6
--- a/thorndale/standins/box.py
+++ b/thorndale/standins/box.py
@@ -33,6 +33,8 @@
 
 
 class Box(Agent):
+    standing_kind = Standing  # what is kept of a call
+
     def __init__(self, loop, limits, name, transport, port, work, lines, chance, saw, times=None):
         super().__init__(loop, limits, f"box:{name}", saw, times)
         self.name, self.transport, self.work, self.lines, self.chance = name, transport, work, lines, chance
@@ -168,7 +170,7 @@
         if self.used >= self.lines:
             tx.respond(now, 503, "x", extra=[("Reason", "Q.850;cause=34"), *self.load(now, tx)])
             return
-        call = self.calls[tx.message.call_id] = Standing(self, tx)
+        call = self.calls[tx.message.call_id] = self.standing_kind(self, tx)
         self.used += 1
         call.timer = self.timers.set(done, call, "done")
 
