--- a/thorndale/config/load.py
+++ b/thorndale/config/load.py
@@ -29,28 +29,37 @@
         self.where, self.faults, self.shown = where, faults, ""  # shown: with lines and carets, where there are some
 
 
-def load(path):
-    """The Settings of a JSON5 file. Raises ConfigError."""
+def read_text(path, kind):
+    """The text of a file that is a `kind` in the faults' words. Raises ConfigError."""
     try:
         with open(path, "rb") as file:
             data = file.read(MAX_FILE + 1)
     except OSError as fault:
-        raise ConfigError(path, [f"cannot be read: {fault.strerror}; give the path of a settings file"]) from None
+        raise ConfigError(path, [f"cannot be read: {fault.strerror}; give the path of a {kind}"]) from None
     if len(data) > MAX_FILE:
         raise ConfigError(path, [f"larger than {MAX_FILE} bytes"])
     try:
-        text = data.decode("utf-8")
+        return data.decode("utf-8")
     except UnicodeDecodeError as fault:
         raise ConfigError(path, [f"byte {fault.start} is no UTF-8; save the file as UTF-8"]) from None
-    return parse(text, str(path))
 
 
-def parse(text, where="settings"):
-    """The Settings of a JSON5 text. Raises ConfigError."""
+def decoded(text, where):
+    """Plain values of a JSON5 text. Raises ConfigError."""
     try:
-        raw = pyjson5.decode(text)
+        return pyjson5.decode(text)
     except pyjson5.Json5Exception as fault:
         raise ConfigError(where, [f"no JSON5: {str(fault.args[0])[:160]}"]) from None
+
+
+def load(path):
+    """The Settings of a JSON5 file. Raises ConfigError."""
+    return parse(read_text(path, "settings file"), str(path))
+
+
+def parse(text, where="settings"):
+    """The Settings of a JSON5 text. Raises ConfigError."""
+    raw = decoded(text, where)
     faults = []
     shaped(raw, Settings, "", faults)
     if faults:
--- a/thorndale/config/plans.py
+++ b/thorndale/config/plans.py
@@ -3,10 +3,9 @@
 import os
 from typing import Annotated
 
-import pyjson5
 from msgspec import Meta, Struct, convert
 
-from thorndale.config.load import MAX_FILE, ConfigError, load, shaped
+from thorndale.config.load import ConfigError, decoded, load, read_text, shaped
 from thorndale.names import nearest
 from thorndale.sites.planner import Capacity, Load
 
@@ -40,15 +39,7 @@
 def read_plan(path, site_order):
     """(settings, {server: Capacity}, Load) of a plan file. `site_order(settings)` gives the rows of sites by call type
     and origin. Raises ConfigError with every fault by its path."""
-    try:
-        with open(path, "rb") as file:
-            raw = pyjson5.decode(file.read(MAX_FILE).decode("utf-8"))
-    except OSError as fault:
-        raise ConfigError(path, [f"cannot be read: {fault.strerror}; give the path of a plan file"]) from None
-    except UnicodeDecodeError as fault:
-        raise ConfigError(path, [f"byte {fault.start} is no UTF-8; save the file as UTF-8"]) from None
-    except pyjson5.Json5Exception as fault:
-        raise ConfigError(path, [f"no JSON5: {str(fault.args[0])[:160]}"]) from None
+    raw = decoded(read_text(path, "plan file"), path)
     faults = []
     shaped(raw, PlanFile, "", faults)
     if faults:
--- a/thorndale/sites/router.py
+++ b/thorndale/sites/router.py
@@ -36,7 +36,7 @@
         self.part = [spill.Part(settings["instances"]) for _ in range(self.number)]
         self.standing = [0] * self.number
         self.limit = min(settings["type_target_us"])
-        self.servers, self.calls, self.turned = {}, {}, 0  # server: (pool, state, started); call: Offered
+        self.servers, self.calls = {}, {}  # server: (pool, state, started); call: Offered
         self.notes = []
 
     @property
@@ -191,7 +191,6 @@
 
     def _turn_away(self, offered):
         del self.calls[offered.event.call]
-        self.turned += 1
         comeback = self.settings["comeback_max_us"] if self.settings["comeback_told"] else 0
         return io.Reject(offered.event.call, int(comeback * (1 + self._chance()) / 2))
 
--- a/thorndale/sites/spill.py
+++ b/thorndale/sites/spill.py
@@ -17,11 +17,10 @@
 class Part:
     """This proxy's part of a site's calls, from its own standing there and the lines in use told there."""
 
-    __slots__ = ("equal", "value", "at", "used")
+    __slots__ = ("value", "at", "used")
 
     def __init__(self, instances):
-        self.equal = 1.0 / max(1, instances)
-        self.value, self.at, self.used = self.equal, 0, {}
+        self.value, self.at, self.used = 1.0 / max(1, instances), 0, {}
 
     def told(self, server, used):
         self.used[server] = used
@@ -56,7 +55,7 @@
         for the cheaper."""
         factor = min(1.0, max(0.0, (TURNED_ALL - self.turned) / (TURNED_ALL - TURNED_NONE)))
         share = self.rate * factor * part
-        self.credit = min(self.credit + share * min(now - self.at, CREDIT_US), max(share * CREDIT_US, 0.0))
+        self.credit = min(self.credit + share * min(now - self.at, CREDIT_US), share * CREDIT_US)
         self.at = now
         self._mixed(revenue)
         dearer = sum(share for other, share in self.mix.items() if other > revenue)
