The connection to give up for one more is found without listing all

Traced: the listener's queue of 512 was full from 8.3 s to the end with 100,000 overflows, and each connection accepted at the bound cost 842 us of processor time, over half of it for listing and sorting all 740 held ones (border.py idle) and looking through all tasks (tcp.py _make_room). Change: platform/callers.py keeps callers' connections in the order in which they are given up; Tcp keeps those that it is finishing. The same order as before, by a test against its plain definition.

--- a/thorndale/net/tcp.py
+++ b/thorndale/net/tcp.py
@@ -230,6 +230,7 @@
         self.on_data, self.on_lost, self.on_batch = on_data, on_lost, on_batch
         self.on_open, self.on_full, self.fault = on_open, on_full, ""
         self.listeners, self.tasks, self.by_hop = [], {}, {}
+        self.finishing = {}  # connections that `finish` has ended and that are not closed yet, oldest first
         self.serial, self.closing = 0, False
         self.count = {
             "accepted": 0,
@@ -281,8 +282,9 @@
 
     def _make_room(self):
         """Gives a connection up for one more: one that is ending already, else the one that `on_full` names."""
-        ending = (c for c in self.tasks if c.ending_at is not None and not c.closed)
-        given_up = next(ending, None) or (self.by_hop.get(self.on_full()) if self.on_full is not None else None)
+        given_up = next((c for c in self.finishing if not c.closed), None)
+        if given_up is None and self.on_full is not None:
+            given_up = self.by_hop.get(self.on_full())
         if given_up is not None:
             self.count["given up for room"] += 1
             self.drop(given_up)
@@ -332,6 +334,7 @@
         if connection is not None:
             connection.ending_at, connection.told = self.loop.time(), True
             connection.wake.set()
+            self.finishing[connection] = None
 
     def is_quiet(self, hop):
         """Whether nothing lies on a connection that was sent and not read, or taken and not sent on."""
@@ -370,6 +373,7 @@
     def drop(self, connection):
         """Ends a connection from outside a read; whoever used it is told in the next turn of the loop."""
         connection.closed, connection.ending_at = True, self.loop.time()
+        self.finishing.pop(connection, None)
         self.loop.call_soon(self.tell, connection)
         task = self.tasks.get(connection)
         if task is not None:
@@ -388,6 +392,7 @@
     def _ended(self, connection, task):
         connection.sock.close()
         self.tasks.pop(connection, None)
+        self.finishing.pop(connection, None)
         fault = None if task.cancelled() else task.exception()
         if fault is not None:  # of the program's: this connection alone ends by it
             self.loop.call_exception_handler({"message": "fault on a connection", "exception": fault})
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -16,6 +16,7 @@
 from thorndale.door import Door
 from thorndale.platform import central as sip
 from thorndale.platform import isup, outcomes
+from thorndale.platform.callers import CallerConnections
 from thorndale.platform.description import is_description
 from thorndale.platform.errors import PlatformError
 from thorndale.platform.feed import fold
@@ -51,17 +52,6 @@
     def log(self, event, **fields): ...
 
 
-class Conn:
-    """A connection from callers. `open` is {id: Call}; `good`: a set-up that can be used, or a caller's release, came
-    by it; `hears`: a release sent by it was answered."""
-
-    __slots__ = ("key", "open", "good", "hears", "used_at", "called_at")
-
-    def __init__(self, key, now):
-        self.key, self.open, self.good, self.hears = key, {}, False, False
-        self.used_at, self.called_at = now, now
-
-
 class Release:
     """What is owed to the caller of a call that stood and is over. `own`: the connection of its set-up; `by`: keys of
     those that took it and are up; `sent_at`: when the first one did, `last_at`: when the last one did."""
@@ -104,7 +94,8 @@
     def __init__(self, config, module, send, offset):
         self.config, self.send, self.offset = config, send, offset
         self.door, self.timers = Door(module), Timers()
-        self.conns, self.calls, self.links = {}, {}, {}  # by connection; by id, being set up and standing; by key
+        self.conns = CallerConnections()
+        self.calls, self.links = {}, {}  # by id, being set up and standing; by key
         self.centrals, self.by_index, self.servers = {}, {}, 0
         self.owed, self.unsent, self.done = {}, deque(), []  # id: Release; Releases that no connection took
         self.early, self.early_at = {}, deque()  # id: (central's name, cause); (when to forget, id)
@@ -176,7 +167,7 @@
     # ---- callers ----
 
     def caller_opened(self, now, key):
-        self.conns[key] = Conn(key, now)
+        self.conns.add(key, now)
 
     def caller_message(self, now, key, message):
         """One framed message from a caller: (type, call, parameters)."""
@@ -184,7 +175,7 @@
         if conn is None:
             return
         kind, call, data = message
-        conn.used_at = now
+        self.conns.use(conn, now)
         try:
             if kind == isup.SETUP:
                 self._setup(now, conn, call, isup.parameters(data))
@@ -223,7 +214,8 @@
             raise PlatformError("two set-ups under one id", "set-up")
         if call in self.calls:
             raise PlatformError("the id is another call's", "set-up")
-        conn.good, conn.called_at = True, now
+        conn.called_at = now
+        self.conns.prove(conn)
         held = Call(conn, call, setup, kind)
         held.index = self.door.number(held)
         self.calls[call] = conn.open[call] = held
@@ -246,7 +238,8 @@
         """A call that stands at a central server already: taken up after a restart, without an answer."""
         if call in self.calls:
             return
-        conn.good, conn.called_at = True, now
+        conn.called_at = now
+        self.conns.prove(conn)
         self._note("taken up")
         central = self.centrals.get(setup.at)
         name, cause = self.early.get(call, ("", outcomes.CUT))
@@ -269,7 +262,8 @@
         held = self.calls.get(call)
         if held is not None and held.central is not None:
             self._note("released by callers")
-            conn.good, central = True, held.central
+            central = held.central
+            self.conns.prove(conn)
             self._to(now, central, sip.bye(held.text, 2, held.number, cause or outcomes.CLEARED))
             self._end_standing(now, held, io.COMPLETED, None)
 
@@ -283,7 +277,7 @@
 
     def caller_lost(self, now, key):
         """A connection from callers has ended; calls that stand go on."""
-        conn = self.conns.pop(key, None)
+        conn = self.conns.pop(key)
         if conn is None:
             return
         for held in list(conn.open.values()):
@@ -295,9 +289,9 @@
             self._hand(now, release)
 
     def idle(self, now, quiet_us):
-        """Connections from callers without a set-up open and without a message for so long, longest first."""
-        found = [c for c in self.conns.values() if not c.open and now - c.used_at >= quiet_us]
-        return [c.key for c in sorted(found, key=lambda c: (c.good, c.used_at))]
+        """Connections from callers without a set-up open and without a message for so long, in the order in which
+        to give them up."""
+        return self.conns.idle(now, quiet_us)
 
     def _close(self, held):
         """The call is no more one that is being set up."""
@@ -332,7 +326,7 @@
         while conns:
             conn = conns.pop()
             if self.send.to_caller(conn.key, isup.release(release.call, release.cause)):
-                conn.used_at = now
+                self.conns.use(conn, now)
                 release.by.add(conn.key)
                 release.last_at = now
                 if release.sent_at is None:
