--- /dev/null
+++ b/bench/scale/capacity.py
@@ -0,0 +1,356 @@
+"""The figures at the target size, worked out again from the scale tests' JSON: `python -m bench.scale.capacity`
+
+Prints the table that stands in docs/CAPACITY.md; `--chart FILE` draws the slopes. Exit code 1 where a result is missing.
+"""
+
+import argparse
+import json
+import sys
+from typing import NamedTuple
+
+from bench.scale import report, target
+
+CHART_COLUMNS = 2
+
+
+class MissingResultError(Exception):
+    """A scale test's file, or the slope asked of it, is not there."""
+
+
+class Figure(NamedTuple):
+    """One row: what it costs whom, from which slope of which test. `keys`: what the slope's entry must say. `limit`: in
+    the unit shown, None where there is none; `factor`: from the test's unit to the one shown."""
+
+    role: str
+    cost: str
+    test: str
+    keys: dict
+    unit: str
+    limit: float | None = None
+    factor: float = 1.0
+    mechanism: str = ""
+
+
+def _fleet(column, **keys):
+    return {"of": column, "by": "members", **keys}
+
+
+FIGURES = (
+    Figure(
+        "border proxy",
+        "decision on one call, 37 servers in its service",
+        "decisions",
+        {"play": "listed", "of": "call_us"},
+        "ms",
+        None,
+        1e-3,
+        "weighted round robin over one service",
+    ),
+    Figure(
+        "border proxy",
+        "decision on one call, all servers in one service",
+        "decisions",
+        {"play": "service", "of": "call_us", "target": target.SERVERS},
+        "ms",
+        target.ADDED_MS,
+        1e-3,
+        "the same",
+    ),
+    Figure(
+        "border proxy",
+        "one change of the server list",
+        "decisions",
+        {"play": "listed", "of": "change_ms"},
+        "ms",
+        None,
+        1.0,
+        "list index rebuilt",
+    ),
+    Figure(
+        "border proxy",
+        "memory of the module",
+        "decisions",
+        {"play": "listed", "of": "memory_kb"},
+        "MB",
+        None,
+        1 / 1024,
+        "a row of figures a server",
+    ),
+    Figure(
+        "border proxy",
+        "added to a set-up, p50, control on",
+        "callpath",
+        _fleet("added_p50_us"),
+        "ms",
+        None,
+        1e-3,
+        "one thread, no queue",
+    ),
+    Figure(
+        "border proxy",
+        "added to a set-up, p99, control on",
+        "callpath",
+        _fleet("added_p99_us"),
+        "ms",
+        target.ADDED_MS,
+        1e-3,
+        "one thread, no queue",
+    ),
+    Figure(
+        "border proxy",
+        "control: part of a core, before calls",
+        "callpath",
+        _fleet("idle_core"),
+        "%",
+        100 * target.CONTROL_CORE,
+        100.0,
+        "SWIM probes",
+    ),
+    Figure(
+        "border proxy",
+        "memory of the whole process",
+        "callpath",
+        _fleet("memory_mb"),
+        "MB",
+        target.CONTROL_MB,
+        1.0,
+        "",
+    ),
+    Figure(
+        "border proxy",
+        "control: bytes sent",
+        "callpath",
+        _fleet("sent_bytes_per_s"),
+        "B/s",
+        target.CONTROL_BYTES_PER_S,
+        1.0,
+        "SWIM, budgets, words",
+    ),
+    Figure(
+        "border proxy",
+        "membership, cold start of everybody: bytes sent",
+        "membership",
+        _fleet("bytes_per_s", play="cold"),
+        "B/s",
+        target.CONTROL_BYTES_PER_S,
+        1.0,
+        "gossip, ten pieces of news a datagram",
+    ),
+    Figure(
+        "border proxy",
+        "membership, cold start of everybody: part of a core",
+        "membership",
+        _fleet("core_part", play="cold"),
+        "%",
+        100 * target.CONTROL_CORE,
+        100.0,
+        "the same",
+    ),
+    Figure(
+        "border proxy",
+        "a zone known dead by all",
+        "membership",
+        _fleet("known_dead_s", play="zone"),
+        "s",
+        None,
+        1.0,
+        "suspicion, gossip",
+    ),
+    Figure(
+        "border proxy",
+        "retry budgets and words: bytes, 37 proxies a service",
+        "budgets",
+        {"of": "bytes_per_s", "target": target.SERVICE_SERVERS},
+        "B/s",
+        target.CONTROL_BYTES_PER_S,
+        1.0,
+        "escrow with leases; rumours",
+    ),
+    Figure(
+        "border proxy",
+        "retry budgets and words: part of a core",
+        "budgets",
+        {"of": "core_part", "target": target.SERVICE_SERVERS},
+        "%",
+        100 * target.CONTROL_CORE,
+        100.0,
+        "the same",
+    ),
+    Figure(
+        "border proxy",
+        "use of the retry bound, 37 proxies a service",
+        "budgets",
+        {"of": "use_mean", "target": target.SERVICE_SERVERS},
+        "",
+        None,
+        1.0,
+        "the same",
+    ),
+    Figure(
+        "border proxy",
+        "descriptors, calling every server by TCP",
+        "connections",
+        {"play": "proxy", "of": "descriptors"},
+        "",
+        1024,
+        1.0,
+        "a connection a server called",
+    ),
+    Figure(
+        "central server",
+        "connections, called by every proxy",
+        "connections",
+        {"play": "server", "of": "held", "target": target.SERVERS},
+        "",
+        None,
+        1.0,
+        "one a proxy",
+    ),
+    Figure(
+        "central server",
+        "connections, called by the 37 of one service",
+        "connections",
+        {"play": "server", "of": "held", "target": target.SERVICE_SERVERS},
+        "",
+        None,
+        1.0,
+        "one a proxy",
+    ),
+    Figure(
+        "operator's command",
+        "a change of the rules written and signalled, one after another",
+        "configuration",
+        {"of": "operator_ms"},
+        "s",
+        target.CHANGE_IN_FORCE_S,
+        1e-3,
+        "file and SIGHUP; none",
+    ),
+    Figure(
+        "border proxy",
+        "processor time for one change of 100 rules",
+        "configuration",
+        {"of": "each_ms"},
+        "ms",
+        None,
+        1.0,
+        "compiled off the loop",
+    ),
+)
+
+
+def load(test, folder=report.FOLDER):
+    path = report.path_of(test, folder)
+    try:
+        return json.loads(path.read_text(encoding="utf-8"))
+    except FileNotFoundError:
+        raise MissingResultError(f"{path.name} is not there: run python -m bench.scale.{test}") from None
+
+
+def slope_of(result, keys):
+    for slope in result["slopes"]:
+        if all(slope.get(key) == value for key, value in keys.items()):
+            return slope
+    raise MissingResultError(f"scale-{result['test']}.json has no slope for {keys}")
+
+
+def shown(value):
+    """Three digits."""
+    if abs(value) >= 1000:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def table(folder=report.FOLDER):
+    """The lines of the table, in Markdown."""
+    lines = [
+        "| role | cost | at the target | limit | ratio | slope (n: size; in the test's unit) | test |",
+        "| --- | --- | ---: | ---: | ---: | --- | --- |",
+    ]
+    for figure in FIGURES:
+        slope = slope_of(load(figure.test, folder), figure.keys)
+        value = slope["at_target"] * figure.factor
+        limit = "-" if figure.limit is None else f"{shown(figure.limit)} {figure.unit}".strip()
+        ratio = "-" if figure.limit is None else f"{value / figure.limit:.2f}"
+        lines.append(
+            f"| {figure.role} | {figure.cost} | {shown(value)} {figure.unit}".rstrip()
+            + f" | {limit} | {ratio} | {slope['text']} | {figure.test} |"
+        )
+    return lines
+
+
+def depth_table(folder=report.FOLDER):
+    """Calls that stood of those offered, by depth, without and with the marks; the mean of the seeds."""
+    rows = load("depth", folder)["rows"]
+    depths = sorted({row["depth"] for row in rows})
+    lines = [
+        "| reports and named waits | last hop | load | marked | " + " | ".join(f"{d}" for d in depths) + " |",
+        "| --- | --- | ---: | --- | " + " | ".join("---:" for _ in depths) + " |",
+    ]
+    kinds = dict.fromkeys((r["reports"], r["fault"], r["load"], r["redials"], r["marked"]) for r in rows)
+    for kind in sorted(kinds, key=lambda k: (k[3], k[0], ("healthy", "failing", "dead").index(k[1]), k[2], k[4])):
+        reports, fault, load_, redials, marked = kind
+        cells = []
+        for depth in depths:
+            own = [
+                r["stood"]
+                for r in rows
+                if r["depth"] == depth and (r["reports"], r["fault"], r["load"], r["redials"], r["marked"]) == kind
+            ]
+            cells.append(f"{sum(own) / len(own):.2f}" if own else "-")
+        told = "yes" if reports else "no"
+        tail = ", 2 redials" if redials else ""
+        mark = "yes" if marked else "no"
+        lines.append(f"| {told}{tail} | {fault} | {load_} | {mark} | " + " | ".join(cells) + " |")
+    return lines
+
+
+def draw(path, folder=report.FOLDER):
+    """Measured values and their fits to the target, one panel a figure that grows."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    import matplotlib.pyplot as plt
+    import numpy
+
+    from bench.scale.fit import Fit
+
+    panels = [f for f in FIGURES if slope_of(load(f.test, folder), f.keys)["law"] != "constant"]
+    rows = -(-len(panels) // CHART_COLUMNS)
+    figure, axes = plt.subplots(rows, CHART_COLUMNS, figsize=(10, 2.4 * rows), squeeze=False)
+    for axis, panel in zip(axes.flat, panels, strict=False):
+        result = load(panel.test, folder)
+        slope = slope_of(result, panel.keys)
+        given = {key: value for key, value in panel.keys.items() if key in ("play", "loss")}
+        own = [r for r in result["rows"] if all(r.get(k) == v for k, v in given.items()) and slope["by"] in r]
+        points = [(r[slope["by"]], r[slope["of"]] * panel.factor) for r in own if r.get(slope["of"]) is not None]
+        sizes = numpy.linspace(min(p[0] for p in points), slope["target"], 60)
+        fitted = Fit(slope["law"], tuple(slope["terms"]), slope["residual"])
+        axis.plot(*zip(*points, strict=True), "o", markersize=4)
+        axis.plot(sizes, [fitted.at(n) * panel.factor for n in sizes], "-", linewidth=1)
+        if panel.limit is not None:
+            axis.axhline(panel.limit, linestyle="--", linewidth=1, color="tab:red")
+        axis.set_title(f"{panel.cost}, {panel.unit}", fontsize=8)
+        axis.tick_params(labelsize=7)
+    for axis in list(axes.flat)[len(panels) :]:
+        axis.axis("off")
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--folder", default=str(report.FOLDER))
+    parser.add_argument("--chart", default="")
+    given = parser.parse_args()
+    try:
+        print("\n".join([*table(given.folder), "", *depth_table(given.folder)]))
+        if given.chart:
+            draw(given.chart, given.folder)
+    except MissingResultError as fault:
+        print(fault, file=sys.stderr)
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/scale/decisions.py
@@ -0,0 +1,109 @@
+"""Time and memory of the module by servers listed and by servers in a service. `python -m bench.scale.decisions`
+
+One module alone, no sockets. A decision is a call, its set-up and its end, in three batches as a front gives them.
+`listed`: 37 servers in the service called, the others listed in services of 37. `service`: all listed are one service.
+`events`: how long a whole list and a change of one server take.
+"""
+
+import argparse
+import statistics
+import time
+import tracemalloc
+
+from bench.scale import report, target
+from thorndale import interface as io
+from thorndale.policy import Proxy
+
+LISTED = (37, 100, 200, 400, 800, 1400)
+IN_SERVICE = (10, 20, 37, 74, 148, 296)
+CALLS = 400
+S = 1_000_000
+
+
+def settings():
+    return {
+        "tick_us": 1_000,
+        "instances": target.SERVERS,
+        "type_target_us": [1_200_000],
+        "type_guard_us": [9_000_000],
+        "type_hold_us": [5_000_000],
+        "type_revenue": [1.0],
+        "type_late_part": [0.25],
+        "type_pools": [[0]],
+        "client_quota": [],
+        "over_quota_part": 1.0,
+        "release_us": 500_000,
+        "resend_us": 0,
+        "seizures_max": 5,
+        "open_max": 60_000,
+        "may_cancel": True,
+        "comeback_told": True,
+        "comeback_max_us": 2 * S,
+        "drain_grace_us": 500_000,
+        "start_capacity": 0.35,
+        "warm_up_us": 10 * S,
+        "fall_multiple": 2.0,
+        "fall_us": 1_500_000,
+        "list_asked": False,
+        "fleet_rights": False,
+    }
+
+
+def listed_servers(listed, in_service):
+    """Server n of the service called is in pool 0, the others in pools of 37."""
+    return [
+        io.Server(n, 0 if n < in_service else 1 + (n - in_service) // target.SERVICE_SERVERS, io.SERVING, 0)
+        for n in range(listed)
+    ]
+
+
+def measured(listed, in_service):
+    tracemalloc.start()
+    proxy, servers = Proxy(7, settings()), listed_servers(listed, in_service)
+    whole = io.Servers(tuple(servers), True, False)
+    began = time.perf_counter()
+    proxy.handle(S, [whole])
+    list_s = time.perf_counter() - began
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    now, spent = 2 * S, []
+    for call in range(CALLS):
+        now += int(S / target.PROXY_PER_S)
+        began = time.perf_counter()
+        actions = proxy.handle(now, [io.Call(call, 0, 0, call, 9 * S, 0, False, False)])
+        seize = next(a for a in actions if type(a) is io.Seize)
+        report_ = io.Report(100, 600, 1_000, None)
+        proxy.handle(now + 9_000, [io.Stood(call, 0, seize.server, 9_000)])
+        proxy.handle(now + 10_000, [io.Ended(call, 0, seize.server, io.COMPLETED, 0, 0, True, report_)])
+        spent.append(time.perf_counter() - began)
+    began = time.perf_counter()
+    proxy.handle(now + S, [io.Servers((servers[0]._replace(state=io.DRAINING),), False, False)])
+    change_s = time.perf_counter() - began
+    return {
+        "listed": listed,
+        "in_service": in_service,
+        "call_us": round(statistics.median(spent) * 1e6, 1),
+        "call_p99_us": round(sorted(spent)[int(0.99 * len(spent))] * 1e6, 1),
+        "whole_list_ms": round(list_s * 1e3, 2),
+        "change_ms": round(change_s * 1e3, 3),
+        "memory_kb": round(memory / 1024, 1),
+    }
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--out", default="")
+    given = parser.parse_args()
+    began = time.monotonic()
+    by_listed = [{"play": "listed", **measured(n, target.SERVICE_SERVERS)} for n in LISTED]
+    by_service = [{"play": "service", **measured(target.SERVERS, n)} for n in IN_SERVICE]
+    slopes = []
+    for column in ("call_us", "change_ms", "memory_kb"):
+        slopes.append({"play": "listed", **report.slope(by_listed, "listed", column, target.SERVERS)})
+    slopes.append({"play": "service", **report.slope(by_service, "in_service", "call_us", target.SERVICE_SERVERS)})
+    slopes.append({"play": "service", **report.slope(by_service, "in_service", "call_us", target.SERVERS)})
+    report.write("decisions", by_listed + by_service, slopes, time.monotonic() - began, given.out)
+
+
+if __name__ == "__main__":
+    report.run(main)
--- a/thorndale/emulator/chain.py
+++ b/thorndale/emulator/chain.py
@@ -38,8 +38,8 @@
     load: float
     seed: int = 1
     servers: int = 4
-    length_us: int = 30 * S
-    settle_us: int = 8 * S  # calls that come earlier are not counted
+    length_us: int = 24 * S
+    settle_us: int = 7 * S  # calls that come earlier are not counted
     reports: bool = True
     named_waits: bool = True
     fault: str = HEALTHY
