--- a/bench/scale/chain_days.py
+++ b/bench/scale/chain_days.py
@@ -3,7 +3,8 @@
     python -m bench.scale.chain_days [--hops 6] [--width 5] [--seeds 2] [--cases failing,links,sound] [--out FILE]
 
 Border proxies are processes; central servers that carry calls on and callers are stand-ins, on loopback by UDP. The
-auditor judges the five rules at every hop. `failing`: one server of the last hop answers half of its set-ups with a
+auditor judges the five rules at every hop. `still_ms`: for how long the stand-ins' own loop stood still; where that is
+seconds, their processors are what was slow. `failing`: one server of the last hop answers half of its set-ups with a
 fault. `links`: a tenth of the datagrams between hop 2's proxies and servers is lost, those of hop 3 come 30 ms later,
 one proxy of hop 4 is cut off from one server. `lost progress`: as `failing`, the servers send no 181.
 """
@@ -78,6 +79,8 @@
     offered = max(1, count.get("offered", 0))
     setups = [sum(sum(player.setups[box].values()) for box in names("box", hop + 1, width)) for hop in range(hops)]
     lag = sorted(player.lag) or [0]
+    stills = player.auditor.stills
+    still_us = sum(ended - began for began, ended in stills[min(stills)]) if stills else 0
     return {
         "case": case,
         "marked": chained,
@@ -92,6 +95,8 @@
         "breaks": len(breaks),
         "break_texts": [text for _, _, text in breaks[:3]],
         "left": len(leaks(player)),
+        "left_what": leaks(player),
+        "still_ms": still_us // 1000,
     }
 
 
