--- a/bench/scale/capacity.py
+++ b/bench/scale/capacity.py
@@ -148,9 +148,9 @@
     ),
     Figure(
         "border proxy",
-        "a zone known dead by all",
+        "one dead member known dead by all",
         "membership",
-        _fleet("known_dead_s", play="zone"),
+        _fleet("known_dead_s", play="one"),
         "s",
         None,
         1.0,
