One builder of the module's settings for all emulated proxies

Cause: the same map stood in emulator/fleet.py, emulator/chain.py and bench/scale/decisions.py. Change: emulator/settings.py builds it.

--- a/bench/scale/callpath.py
+++ b/bench/scale/callpath.py
@@ -9,7 +9,6 @@
 
 import argparse
 import json
-import os
 import tempfile
 import time
 
@@ -126,7 +125,7 @@
         fleets = [row for row in rows if row["members"]]
         for column in ("added_p50_us", "added_p99_us", "idle_core", "core", "memory_mb", "sent_bytes_per_s"):
             slopes.append(report.slope(fleets, "members", column, target.SERVERS))
-    report.write("callpath", rows, slopes, time.monotonic() - began, given.out, rate=RATE, pid=os.getpid())
+    report.write("callpath", rows, slopes, time.monotonic() - began, given.out, rate=RATE)
 
 
 if __name__ == "__main__":
--- a/bench/scale/decisions.py
+++ b/bench/scale/decisions.py
@@ -12,41 +12,17 @@
 
 from bench.scale import report, target
 from thorndale import interface as io
+from thorndale.emulator.day import S, Type
+from thorndale.emulator.settings import module_settings
 from thorndale.policy import Proxy
+from thorndale.standins.processor import Work
 
 LISTED = (37, 100, 200, 400, 800, 1400)
 IN_SERVICE = (10, 37, 74, 148, 296, 700, 1400)
 CALLS = 300
-S = 1_000_000
 
 
-def settings():
-    return {
-        "tick_us": 1_000,
-        "instances": target.SERVERS,
-        "type_target_us": [1_200_000],
-        "type_guard_us": [9_000_000],
-        "type_hold_us": [5_000_000],
-        "type_revenue": [1.0],
-        "type_late_part": [0.25],
-        "type_pools": [[0]],
-        "client_quota": [],
-        "over_quota_part": 1.0,
-        "release_us": 500_000,
-        "resend_us": 0,
-        "seizures_max": 5,
-        "open_max": 60_000,
-        "may_cancel": True,
-        "comeback_told": True,
-        "comeback_max_us": 2 * S,
-        "drain_grace_us": 500_000,
-        "start_capacity": 0.35,
-        "warm_up_us": 10 * S,
-        "fall_multiple": 2.0,
-        "fall_us": 1_500_000,
-        "list_asked": False,
-        "fleet_rights": False,
-    }
+TYPE = Type(1.0, 1_200_000, 9_000_000, 5_000_000, 1.0, 0.25)
 
 
 def listed_servers(listed, in_service):
@@ -59,7 +35,7 @@
 
 def measured(listed, in_service):
     tracemalloc.start()
-    proxy, servers = Proxy(7, settings()), listed_servers(listed, in_service)
+    proxy, servers = Proxy(7, module_settings([TYPE], Work(), target.SERVERS, [0])), listed_servers(listed, in_service)
     whole = io.Servers(tuple(servers), True, False)
     began = time.perf_counter()
     proxy.handle(S, [whole])
--- a/thorndale/emulator/chain.py
+++ b/thorndale/emulator/chain.py
@@ -15,13 +15,13 @@
 from thorndale import interface as io
 from thorndale.door import Door
 from thorndale.emulator.day import S, Type
+from thorndale.emulator.settings import RELEASE_US, module_settings
 from thorndale.policy import Proxy
 from thorndale.standins.processor import Processor, Work
 
 WORK = Work(setup_us=16_000, answer_us=2_000, release_us=2_000, reject_us=1_400)
 LINK_LEAST_US, LINK_SPREAD_US = 500, 1_000  # us that a message takes between a proxy and a server
 HOP_MARGIN_US = 5_000  # us that a server keeps of the time it was given for the answer's way back
-RELEASE_US = 500_000  # us that a proxy waits after a time-out, reset or cancel before its next seizure
 REPORT_US = 1_000_000  # us between two load reports of a server
 FAILING_PART = 0.5  # part of its set-ups that a failing server answers with a fault
 REDIAL_US = 1_000_000  # us until a redial where no come-back time was named
@@ -173,32 +173,7 @@
 
     def _settings(self):
         plan = self.plan
-        return {
-            "tick_us": 1_000,
-            "instances": plan.servers,
-            "type_target_us": [t.target_us for t in plan.types],
-            "type_guard_us": [t.guard_us for t in plan.types],
-            "type_hold_us": [t.hold_us for t in plan.types],
-            "type_revenue": [t.revenue for t in plan.types],
-            "type_late_part": [t.late_part for t in plan.types],
-            "type_pools": [[0] for _ in plan.types],
-            "client_quota": [],
-            "over_quota_part": 1.0,
-            "release_us": RELEASE_US,
-            "resend_us": 0,
-            "seizures_max": 5,
-            "open_max": 60_000,
-            "may_cancel": True,
-            "comeback_told": plan.named_waits,
-            "comeback_max_us": 2 * S,
-            "drain_grace_us": 500_000,
-            "start_capacity": WORK.cold_from,
-            "warm_up_us": WORK.warm_us,
-            "fall_multiple": WORK.fall_multiple,
-            "fall_us": WORK.fall_us,
-            "list_asked": False,
-            "fleet_rights": False,
-        }
+        return module_settings(plan.types, WORK, plan.servers, [0], comeback_told=plan.named_waits)
 
     def play(self):
         plan = self.plan
--- a/thorndale/emulator/fleet.py
+++ b/thorndale/emulator/fleet.py
@@ -7,6 +7,7 @@
 from thorndale import interface as io
 from thorndale.door import Door
 from thorndale.emulator.day import S
+from thorndale.emulator.settings import RELEASE_US, module_settings
 from thorndale.emulator.sharing import Sharing
 from thorndale.emulator.ways import module
 from thorndale.sites.plan import expand
@@ -15,7 +16,6 @@
 
 WORK = Work(setup_us=8_000, answer_us=1_000, release_us=1_000, warm_us=12_000_000)
 NOTICED_US = 4 * S  # us after which a proxy holds the calls of a silent server to be cut
-RELEASE_US = 500_000
 WINDOW_US = 10 * S
 
 
@@ -136,33 +136,10 @@
     # ---- the proxies ----
 
     def settings(self):
-        day, types = self.day, self.day.types
-        return {
-            "tick_us": 1_000,
-            "instances": day.proxies,
-            "type_target_us": [t.target_us for t in types],
-            "type_guard_us": [t.guard_us for t in types],
-            "type_hold_us": [t.hold_us for t in types],
-            "type_revenue": [t.revenue for t in types],
-            "type_late_part": [t.late_part for t in types],
-            "type_pools": [sorted({s.pool for s in self.servers}) for _ in types],
-            "client_quota": [],
-            "over_quota_part": 1.0,
-            "release_us": RELEASE_US,
-            "resend_us": 0,
-            "seizures_max": 5,
-            "open_max": 60_000,
-            "may_cancel": True,
-            "comeback_told": True,
-            "comeback_max_us": 2 * S,
-            "drain_grace_us": 500_000,
-            "start_capacity": WORK.cold_from,
-            "warm_up_us": day.warm_up_us,
-            "fall_multiple": WORK.fall_multiple,
-            "fall_us": WORK.fall_us,
-            "list_asked": False,
-            "fleet_rights": "rights" in day.share,
-        }
+        day = self.day
+        pools = sorted({s.pool for s in self.servers})
+        rights = "rights" in day.share
+        return module_settings(day.types, WORK, day.proxies, pools, warm_up_us=day.warm_up_us, fleet_rights=rights)
 
     def sites(self):
         day, count = self.day, len(self.day.servers)
