--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -84,8 +84,8 @@
 class Held:
     """A call that this proxy owes an answer."""
     __slots__ = ("call", "kind", "client", "pool", "key", "redial", "first", "revenue", "came", "last",
-                 "sent", "out", "server", "failed_at", "lack", "resume", "release", "right", "stood", "onward",
-                 "want", "arg")
+                 "sent", "out", "server", "failed_at", "lack", "resume", "release", "right", "stood",
+                 "onward", "want", "arg")
 
     def __init__(self, event, now):
         self.call, self.kind, self.client, self.pool = event.call, event.call_type, event.client, event.pool
