The log tells a call's way by its id, and why each connection ended

Added, one line each: set-up, sent, attempt ended, stood, over, release sent (connection, own or not, how long quiet), heard, waiting, given up, refused; each connection of callers and servers with its opening, its end and the reason. Lines of a call have a bound of their own (400 a second, 4,000 at once). Nothing is decided otherwise. Test: test_the_way_of_a_call_is_in_the_log_under_its_id.

--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -119,6 +119,25 @@
     play(test, tmp_path)
 
 
+def test_the_way_of_a_call_is_in_the_log_under_its_id(tmp_path):
+    async def test(p):
+        caller = await p.caller()
+        call = caller.setup(call_id(1))
+        await until(lambda: over(caller, call))
+        caller.writer.write(isup.encode(isup.HEARD, call))
+        await caller.close()
+        refused = await p.caller()
+        refused.setup(call_id(2), kind=b"none")
+        await until(lambda: refused.closed)
+        lines = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
+        way = [line["did"] for line in lines if line.get("call") == call.hex()]
+        assert way == ["set-up", "sent", "stood", "over", "release sent", "release heard"]
+        ended = [line["why"] for line in lines if line["event"] == "connection" and line["did"] == "ended"]
+        assert ended[-2:] == ["closed by its peer", "an unusable message"]
+
+    play(test, tmp_path)
+
+
 def test_it_is_one_thread_and_starts_no_process(tmp_path):
     async def test(p):
         for s in p.servers:
--- a/thorndale/net/tcp.py
+++ b/thorndale/net/tcp.py
@@ -78,6 +78,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.established, self.opened_at, self.spoke = not opening, owner.loop.time(), False
         self.ending_at, self.told, self.thrown, self.kind = None, False, 0, "lost"
+        self.reason = ""  # why it ended, for the log
 
     def send(self, data):
         """Whether the connection has taken the data: the kernel has it, or it waits here for the peer to read."""
@@ -88,8 +89,8 @@
                 data = data[self.sock.send(data) :]
             except (BlockingIOError, InterruptedError):
                 pass
-            except OSError:
-                self._fails()
+            except OSError as fault:
+                self._fails(fault)
                 return False
             if not data:
                 return True
@@ -97,7 +98,7 @@
         self.unsent += len(data)
         if self.unsent > limits.unsent_bytes:  # the peer does not read: kept for, it would take all memory
             self.owner.count["cut, not reading"] += 1
-            self.owner.drop(self)
+            self.owner.drop(self, "its peer does not read")
             return False
         if self.unsent > limits.unsent_bytes * HIGH_PART:
             self.drained.clear()
@@ -129,12 +130,13 @@
                 if self.ending_at is not None:
                     self.sock.shutdown(socket.SHUT_WR)
                     return
-        except OSError:
-            self._fails()
+        except OSError as fault:
+            self._fails(fault)
 
-    def _fails(self):
+    def _fails(self, fault):
         """The peer takes nothing more. The reader finds the end, after what the peer had sent before it."""
         self.closed = True
+        self.reason = self.reason or f"cannot be sent to: {fault.strerror}"
         self.drained.set()
 
     async def read(self):
@@ -146,8 +148,10 @@
             self.kind = stream.spoilt
             self.owner.count["cut, unreadable"] += 1
             self.owner.fault = f"{self.hop.host}: {fault}"
-        except OSError:
-            pass
+            self.reason = f"unreadable: {fault}"
+        except OSError as fault:
+            self.reason = self.reason or f"broken by its peer: {fault.strerror}"
+        self.reason = self.reason or "closed by its peer"
         self.owner.tell(self)
 
     async def _read(self):
@@ -197,9 +201,10 @@
             try:
                 await connect(loop, self.sock, (self.hop.host, self.hop.port), owner.limits.connect_ms / 1000)
             except ConnectionRefusedError:
-                self.kind = "refused"
+                self.kind = self.reason = "refused"
                 return
-            except OSError:
+            except OSError as fault:
+                self.reason = f"never came up: {fault.strerror}"
                 return
             self.kind, self.established = "lost", True
             await asyncio.sleep(0)  # what came by others in the same turn of the loop is read first
@@ -223,12 +228,12 @@
     """All stream connections of one element. `on_data(data, hop)`, `on_lost(hop, kind)` and `on_batch()` as for
     `Udp`; kind is 'refused' where a connection never was, else 'lost', or as `stream` has it. `on_open(hop)`: one
     that was opened or accepted is up. `on_full()`: asked for a connection to give up when one more comes than the
-    bound allows; None refuses the new one."""
+    bound allows; None refuses the new one. `on_end(hop, reason)`: why each connection ended, for the log."""
 
-    def __init__(self, loop, limits, on_data, on_lost, on_batch, stream=SIP, on_open=None, on_full=None):
+    def __init__(self, loop, limits, on_data, on_lost, on_batch, stream=SIP, on_open=None, on_full=None, on_end=None):
         self.loop, self.limits, self.stream = loop, limits, stream
         self.on_data, self.on_lost, self.on_batch = on_data, on_lost, on_batch
-        self.on_open, self.on_full, self.fault = on_open, on_full, ""
+        self.on_open, self.on_full, self.on_end, self.fault = on_open, on_full, on_end, ""
         self.listeners, self.tasks, self.by_hop = [], {}, {}
         self.finishing = {}  # connections that `finish` has ended and that are not closed yet, oldest first
         self.serial, self.closing = 0, False
@@ -287,7 +292,7 @@
             given_up = self.by_hop.get(self.on_full())
         if given_up is not None:
             self.count["given up for room"] += 1
-            self.drop(given_up)
+            self.drop(given_up, "given up for room")
         return given_up is not None
 
     def _run(self, connection):
@@ -328,10 +333,13 @@
             self.loop.call_soon(self._never, hop)
         return hop
 
-    def finish(self, hop):
+    def finish(self, hop, reason=""):
         """Ends a connection once what was sent is out; nothing more is taken from it, and its end is not told."""
         connection = self.by_hop.pop(hop, None)
         if connection is not None:
+            connection.reason = reason
+            if self.on_end is not None:
+                self.on_end(hop, reason)
             connection.ending_at, connection.told = self.loop.time(), True
             connection.wake.set()
             self.finishing[connection] = None
@@ -370,8 +378,9 @@
         self.on_lost(hop, self.stream.unreached)
         self.on_batch()
 
-    def drop(self, connection):
+    def drop(self, connection, reason=""):
         """Ends a connection from outside a read; whoever used it is told in the next turn of the loop."""
+        connection.reason = connection.reason or reason
         connection.closed, connection.ending_at = True, self.loop.time()
         self.finishing.pop(connection, None)
         self.loop.call_soon(self.tell, connection)
@@ -386,6 +395,8 @@
             del self.by_hop[connection.hop]
         if not connection.told and not self.closing:
             connection.told = True
+            if self.on_end is not None:
+                self.on_end(connection.hop, connection.reason)
             self.on_lost(connection.hop, connection.kind)
             self.on_batch()
 
@@ -410,10 +421,10 @@
         for connection in list(self.by_hop.values()):
             if connection.partial_at and connection.partial_at < before and not connection.unread():
                 self.count["cut, partial"] += 1
-                self.drop(connection)
+                self.drop(connection, "half a message for too long")
             elif silent_ms and not connection.spoke and connection.opened_at < silent and not connection.unread():
                 self.count["cut, silent"] += 1
-                self.drop(connection)
+                self.drop(connection, "it never said anything")
 
     async def close(self):
         self.closing = True
--- a/thorndale/node/log.py
+++ b/thorndale/node/log.py
@@ -3,8 +3,18 @@
 import json
 import sys
 import time
+from typing import NamedTuple
 
-RATE, BURST = 5.0, 40.0  # lines a second and at once, of one kind: peers choose how often some come
+
+class Bound(NamedTuple):
+    """Lines of one kind a second, and at once."""
+
+    rate: float
+    burst: float
+
+
+ANY = Bound(5.0, 40.0)  # peers choose how often some come
+BOUNDS = {"call": Bound(400.0, 4_000.0), "connection": Bound(100.0, 1_000.0), "server connection": Bound(50.0, 400.0)}
 
 
 class Say:
@@ -15,8 +25,9 @@
 
     def __call__(self, level, event, **fields):
         now = self.clock()
-        left, at, held = self.kinds.get(event, (BURST, now, 0))
-        left = min(BURST, left + max(0.0, now - at) * RATE)
+        bound = BOUNDS.get(event, ANY)
+        left, at, held = self.kinds.get(event, (bound.burst, now, 0))
+        left = min(bound.burst, left + max(0.0, now - at) * bound.rate)
         if left < 1:
             self.kinds[event] = left, now, held + 1
             return
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -66,6 +66,7 @@
             Stream(isup.Framer, faults, CALLER_READ),
             self._came,
             self._for_room,
+            self._caller_ended,
         )
         self.servers = Tcp(
             loop,
@@ -75,6 +76,7 @@
             self.batch,
             Stream(central.Framer, faults, SERVER_READ, "unreached", "spoilt"),
             self._opened,
+            on_end=self._server_ended,
         )
         self.alarm = Alarm(loop, self.core.timers, self._due)
         self.feed, self.late_us, self.handles = None, 0, {}
@@ -102,7 +104,7 @@
         return conn in self.callers.by_hop and self.callers.send(conn, data)
 
     def end_caller(self, conn):
-        self.callers.finish(conn)
+        self.callers.finish(conn, "an unusable message")
 
     def connect(self, host, port):
         return self.servers.connect(host, port)
@@ -113,13 +115,19 @@
     def end_server(self, key):
         connection = self.servers.by_hop.get(key)
         if connection is not None:
-            self.servers.drop(connection)
+            self.servers.drop(connection, "ended from here")
 
     def log(self, event, **fields):
         self.say("info", event, **fields)
 
     # ---- what happens on the sockets ----
 
+    def _caller_ended(self, hop, reason):
+        self.say("info", "connection", did="ended", conn=hop, why=reason)
+
+    def _server_ended(self, hop, reason):
+        self.say("info", "server connection", did="ended", link=hop, why=reason)
+
     def _came(self, hop):
         self.core.caller_opened(now_us(), hop)
 
@@ -187,7 +195,7 @@
         self.callers.sweep(SILENT_MS)
         self.servers.sweep()
         for hop in self._leave(IDLE_US):
-            self.callers.finish(hop)
+            self.callers.finish(hop, "idle")
         self.handles["sweep"] = self.loop.call_later(SWEEP_S, self._sweep)
 
     def _tell(self):
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -168,6 +168,7 @@
 
     def caller_opened(self, now, key):
         self.conns.add(key, now)
+        self.send.log("connection", did="opened", conn=key)
 
     def caller_message(self, now, key, message):
         """One framed message from a caller: (type, call, parameters)."""
@@ -194,10 +195,10 @@
     def _bad(self, now, conn, call, fault):
         """What cannot be used is turned away and its connection closed; nobody else's calls are touched."""
         self._note("bad from callers")
-        self.send.log("unusable message", fault=str(fault))
+        self.send.log("unusable message", fault=str(fault), conn=conn.key, call=call.hex())
         held = conn.open.get(call)
         if held is not None:
-            self._give_up(now, held)
+            self._give_up(now, held, "a second message under its id")
         self.send.to_caller(conn.key, isup.release(call, outcomes.UNREADABLE))
         self.caller_lost(now, conn.key)
         self.send.end_caller(conn.key)
@@ -220,6 +221,9 @@
         held.index = self.door.number(held)
         self.calls[call] = conn.open[call] = held
         self._note("set-ups")
+        self._trace(
+            held, "set-up", conn=conn.key, kind=kind.name, within_ms=setup.within_us // 1000, redial=setup.redial
+        )
         self.door.tell(
             io.Call(
                 held.index,
@@ -243,12 +247,16 @@
         self._note("taken up")
         central = self.centrals.get(setup.at)
         name, cause = self.early.get(call, ("", outcomes.CUT))
+        if central is None or name == setup.at:
+            why = "its server is not known" if central is None else "its server has released it"
+            self.send.log("call", call=call.hex(), did="not taken up", conn=conn.key, server=setup.at, why=why)
         if central is None or name == setup.at:  # its server is gone, or has released it before this was told
             self._release(now, call, cause if name else outcomes.CUT, conn)
             return
         held = Call(conn, call, setup, kind)
         held.central = central
         self.calls[call] = central.standing[call] = held
+        self._trace(held, "taken up", conn=conn.key, server=central.name)
         if not central.links:
             self._open(now, central)
         self._release_kept(now)
@@ -257,18 +265,20 @@
         held = conn.open.get(call)
         if held is not None:
             self._note("given up by callers")
-            self._give_up(now, held)
+            self._give_up(now, held, "released by its caller")
             return
         held = self.calls.get(call)
         if held is not None and held.central is not None:
             self._note("released by callers")
+            self._trace(held, "released by its caller", conn=conn.key, cause=cause)
             central = held.central
             self.conns.prove(conn)
             self._to(now, central, sip.bye(held.text, 2, held.number, cause or outcomes.CLEARED))
             self._end_standing(now, held, io.COMPLETED, None)
 
-    def _give_up(self, now, held):
+    def _give_up(self, now, held, why):
         """The caller of a call that is being set up has left: nothing more is owed."""
+        self._trace(held, "given up", why=why)
         self._close(held)
         self.door.tell(io.Left(held.index))
         if held.seizure is not None:
@@ -282,7 +292,7 @@
             return
         for held in list(conn.open.values()):
             self._note("left by a lost connection")
-            self._give_up(now, held)
+            self._give_up(now, held, "its connection has ended")
         crossed = now - (HEARD_US if self.hears else CROSS_US)
         for release in [r for r in self.owed.values() if key in r.by and r.sent_at > crossed]:
             release.by.discard(key)
@@ -325,7 +335,16 @@
         )
         while conns:
             conn = conns.pop()
-            if self.send.to_caller(conn.key, isup.release(release.call, release.cause)):
+            taken = self.send.to_caller(conn.key, isup.release(release.call, release.cause))
+            self.send.log(
+                "call",
+                call=release.call.hex(),
+                did="release sent" if taken else "release not taken",
+                conn=conn.key,
+                own=conn is release.own,
+                quiet_ms=(now - conn.called_at) // 1000,
+            )
+            if taken:
                 self.conns.use(conn, now)
                 release.by.add(conn.key)
                 release.last_at = now
@@ -335,15 +354,18 @@
                     self._note("releases sent again")
                 break
         if not release.by and len(self.unsent) < RELEASES_KEPT:
+            self.send.log("call", call=release.call.hex(), did="release waits", why="no caller is connected")
             self.unsent.append(release)
         elif not release.by:
             del self.owed[release.call]
+            self.send.log("call", call=release.call.hex(), did="release given up", why="too many wait")
             self._note("releases given up")
 
     def _heard(self, conn, call):
         release = self.owed.get(call)
         if release is not None and conn.key in release.by:
             conn.hears = self.hears = True
+            self.send.log("call", call=call.hex(), did="release heard", conn=conn.key)
             del self.owed[call]
 
     # ---- central servers ----
@@ -375,6 +397,7 @@
         ):
             seizure.sent_at = now
             seizure.central.count("sent")
+            self._trace(call, "sent", server=seizure.central.name, link=seizure.link.key, attempt=seizure.number)
 
     def _take_back(self, now, central):
         """The process that was chosen is leaving or another has its place: what was not written goes elsewhere."""
@@ -386,6 +409,7 @@
         link = self.links.get(key)
         if link is not None:
             link.central.opened(link, now)
+            self.send.log("server connection", did="opened", server=link.central.name, link=key)
             for data in link.waiting:
                 self.send.to_server(key, data)
             link.waiting = []
@@ -407,6 +431,14 @@
 
     def _unlink(self, now, link, kind):
         central = link.central
+        self.send.log(
+            "server connection",
+            did=kind,
+            server=central.name,
+            link=link.key,
+            out=len(link.out),
+            standing=len(central.standing),
+        )
         if link in central.links:
             central.links.remove(link)
         central.count(f"connections {kind}")
@@ -456,6 +488,7 @@
             self.send.to_server(link.key, sip.ack(call.text, signal.number, call.number))
             if seizure.over or call.over:
                 central.count("late answers")
+                self._trace(call, "late answer", server=central.name)
                 if call.seizure is None or call.seizure.central is not central:  # else it would end that one
                     self.send.to_server(link.key, sip.bye(call.text, 2, call.number, outcomes.CLEARED))
                 if not seizure.over:
@@ -479,6 +512,7 @@
         call.conn.open.pop(call.id, None)
         call.central, call.body = central, b""
         central.standing[call.id] = call
+        self._trace(call, "stood", conn=call.conn.key, server=central.name, taken=taken, lag_ms=lag // 1000)
         self.door.tell(io.Stood(call.index, seizure.number, central.index, lag))
         if not taken:  # its caller's connection is ending: it stands for nobody
             self.send.to_server(seizure.link.key, sip.bye(call.text, 2, call.number, outcomes.CLEARED))
@@ -494,6 +528,9 @@
         call = self.calls.get(known)
         if call is None:
             central.count("releases of nothing open")
+            self.send.log(
+                "call", call=signal.call, did="release of nothing open", server=central.name, cause=signal.cause
+            )
             self._keep_early(now, central, known, signal.cause or outcomes.CUT)
             return
         report = sip.report(signal.report, self.config.fields) if signal.report else None
@@ -516,6 +553,7 @@
     def _end_standing(self, now, call, outcome, report):
         """A call that stood is over."""
         central = call.central
+        self._trace(call, "over", server=central.name, outcome=outcomes.NAMES[outcome])
         central.standing.pop(call.id, None)
         central.count("completed" if outcome == io.COMPLETED else "cut")
         self._close(call)
@@ -548,6 +586,7 @@
         if call.over:
             self.done.append(call)
         central.count(outcomes.NAMES[outcome])
+        self._trace(call, "attempt ended", server=central.name, outcome=outcomes.NAMES[outcome], attempt=seizure.number)
         since = seizure.since if seizure.sent_at is None else seizure.sent_at
         self.door.tell(io.Ended(call.index, seizure.number, central.index, outcome, 0, now - since, final, report))
 
@@ -616,7 +655,8 @@
     def _answer(self, call, cause, comeback_us):
         key = call.conn.key
         self._close(call)
-        self.send.to_caller(key, isup.release(call.id, cause, comeback_us))
+        taken = self.send.to_caller(key, isup.release(call.id, cause, comeback_us))
+        self._trace(call, "refused", conn=key, cause=cause, taken=taken, attempts=call.sent)
         self.done.append(call)
 
     def _seize(self, now, call, action):
@@ -665,7 +705,11 @@
             if not central.links and central.state != io.GONE and now >= central.again_at:
                 self._open(now, central)
 
-    # ---- counts ----
+    # ---- counts and the log ----
+
+    def _trace(self, call, did, **fields):
+        """One line of a call's way, found by its id."""
+        self.send.log("call", call=call.text, did=did, **fields)
 
     def _note(self, what):
         self.count[what] = self.count.get(what, 0) + 1
