A release goes by its caller's own connection, and on until somebody has heard it

Cause: a release went by the own connection only while that had a set-up in the last 3 s, else by the one with the latest set-up, whoever had made it; and an unheard one was sent again only once some caller of this process had answered a release. So the first release of each process had one try. A state that was to be learned stood guard over a loss. Change: platform/releases.py owns what is owed. The own connection first while it is up; else, and where a connection ends with the release unheard, the next, each once, until heard or out of time. Callers count as answering until eight releases in a row had no answer; to those that never do, nothing is repeated while their own connection is up. Checks changed, as strict: a release of an idle caller goes by its own connection (it was said to go by a later one, on the ground that its caller may be closing; the close that crosses it is tested now).

--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -171,7 +171,7 @@
     rig.setup("d")
     assert releases(rig, call) == ["c", "d"]
     rig.later(2 * S)
-    assert not rig.core.owed and not rig.core.unsent and len(releases(rig, call)) == 2
+    assert not rig.core.releases.owed and not rig.core.releases.waiting and len(releases(rig, call)) == 2
 
 
 def test_a_release_that_was_heard_is_not_sent_again_whatever_ends():
@@ -179,7 +179,7 @@
     rig.bye(key, call)
     (first,) = releases(rig, call)
     rig.heard(call, first)
-    assert not rig.core.owed
+    assert not rig.core.releases.owed
     rig.do("caller_lost", first)
     rig.later(2 * S)
     assert releases(rig, call) == [first]
@@ -203,7 +203,7 @@
     assert releases(rig, call) == ["c", "stranger"], "and on, when it does not hear"
     rig.heard(call, "c")
     rig.later(2 * S)
-    assert len(releases(rig, call)) == 2 and not rig.core.owed
+    assert len(releases(rig, call)) == 2 and not rig.core.releases.owed
 
 
 def test_where_callers_never_answer_releases_each_is_sent_once():
@@ -215,7 +215,7 @@
     key, call = stands(rig)
     rig.bye(key, call)
     rig.later(2 * S)
-    assert len(releases(rig, call)) == 1 and not rig.core.owed
+    assert len(releases(rig, call)) == 1 and not rig.core.releases.owed
 
 
 def test_an_answer_heard_on_a_connection_that_did_not_carry_the_release_proves_nothing():
@@ -225,7 +225,7 @@
     rig.caller("d")
     rig.bye(key, call)
     rig.heard(call, "d")
-    assert list(rig.core.owed) == [call]
+    assert list(rig.core.releases.owed) == [call]
 
 
 def test_the_release_of_a_call_released_by_its_caller_meanwhile_is_not_owed():
@@ -234,7 +234,7 @@
     key, call = stands(rig)
     rig.release(call)
     rig.bye(key, call)
-    assert not rig.core.owed and not releases(rig, call)
+    assert not rig.core.releases.owed and not releases(rig, call)
 
 
 def test_a_caller_that_only_releases_is_a_caller_too():
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -158,7 +158,7 @@
                 rig.bye(held.central.any_open().key, self.call)
         rig.later(9 * S)
         self.look()
-        assert self.call not in rig.core.calls and not rig.core.owed and not rig.core.unsent
+        assert self.call not in rig.core.calls and not rig.core.releases.owed and not rig.core.releases.waiting
         assert self.to_caller() or not self.stays, "the caller stayed and was told nothing"
         assert len(rig.core.door) == 0 and not rig.core.door.module.calls
         assert not any(s.sent_at is None for link in rig.core.links.values() for s in link.out.values())
--- a/tests/platform/test_platform_border.py
+++ b/tests/platform/test_platform_border.py
@@ -335,20 +335,26 @@
     assert rig.got["d"][-1][1] == gone and rig.got["d"][-1][0] == isup.RELEASE
 
 
-def test_a_release_goes_by_a_connection_that_its_caller_is_not_about_to_close():
-    for idle, conn in ((2 * S, "c"), (3_900 * MS, "d")):  # callers close a connection without a call for 4 s
-        rig = Rig()
-        rig.up()
-        call = rig.setup()
-        key, invite = rig.last_invite()
-        rig.answer(key, invite)
-        rig.later(idle - S)
-        rig.caller("d")
-        rig.setup("d")
-        rig.later(S)
-        rig.bye(key, call)
-        assert rig.got[conn][-1] == (isup.RELEASE, call, {isup.CAUSE: b"\x10"})
-        assert sum(m[1] == call and m[0] == isup.RELEASE for got in rig.got.values() for m in got) == 1
+@pytest.mark.parametrize("idle_us", [2 * S, 3_900 * MS])
+@pytest.mark.parametrize("closes", [False, True])
+def test_a_release_goes_by_its_callers_own_connection_and_by_another_where_that_closes_as_it_comes(idle_us, closes):
+    """Its own caller is there for sure; a later one may be a stranger to the call, which says nothing to it."""
+    rig = Rig()
+    rig.up()
+    call = rig.setup()
+    key, invite = rig.last_invite()
+    rig.answer(key, invite)
+    rig.later(idle_us - S)
+    rig.caller("d")
+    rig.setup("d")
+    rig.later(S)
+    rig.bye(key, call)
+    if closes:
+        rig.later(40 * MS)  # what crosses a close does so within 50 ms
+        rig.do("caller_lost", "c")
+    rig.later(2 * S)
+    released = [conn for conn, got in rig.got.items() for m in got if m[:2] == (isup.RELEASE, call)]
+    assert released == (["c", "d"] if closes else ["c"])
 
 
 def test_a_release_that_came_before_the_caller_told_of_its_call_is_passed_on_when_it_does():
--- a/tests/platform/test_platform_rules.py
+++ b/tests/platform/test_platform_rules.py
@@ -8,15 +8,24 @@
 
 from thorndale import interface as io
 from thorndale.platform import isup
+from thorndale.platform.releases import TOLD_US, UNANSWERED_MOST
 
 RELEASE_US = 250 * MS
 CROSS_US = 50 * MS
 
 
 class Model:
-    """What the wire shows, judged slowly."""
+    """What the wire shows, judged slowly. `answering`: callers answer each release that they read, and then none may
+    come twice; those that never do may get some of the first ones twice, each by one connection once, where its own
+    connection has ended."""
 
-    def __init__(self, rig):
+    def __init__(self, rig, answering):
+        self.answering, self.again, self.by = answering, set(), {}
+        self.first_at, self.answered = (
+            {},
+            set(),
+        )  # {call: when its release came first}; calls whose release was answered
+        self.own, self.own_up, self.heard = {}, set(), []  # {call: the connection of its set-up}; got by it and up
         self.rig, self.due, self.out, self.not_before, self.barred = rig, {}, {}, {}, {}
         self.answers, self.left, self.seen, self.told_by, self.crossed = {}, set(), {}, {}, set()
 
@@ -27,10 +36,28 @@
                 self.answers.setdefault(call, []).append(kind)
                 self.told_by[call] = conn, now
                 kinds = self.answers[call]
+                if kinds[2:]:
+                    assert kinds.pop() == isup.RELEASE, (call, kinds)
+                    assert call not in self.own_up, "sent again though its caller's own connection has it"
+                    assert call not in self.answered, "sent again though its caller has answered"
+                    self.again.add(call)
+                if kind == isup.RELEASE and kinds[:1] == [isup.ANSWER]:
+                    assert conn not in self.by.setdefault(call, set()), "twice by one connection"
+                    self.by[call].add(conn)
+                    self.first_at.setdefault(call, now)
+                    if self.answering:
+                        self.heard.append((call, conn))
+                    if conn == self.own.get(call) and conn in rig.core.conns:
+                        self.own_up.add(call)
                 assert kinds in ([isup.ANSWER], [isup.RELEASE], [isup.ANSWER, isup.RELEASE]), (call, kinds)
                 assert call not in self.left or len(kinds) > 1 or kinds == [isup.RELEASE]
                 assert len(kinds) > 1 or now <= self.due[call] + 50 * MS
             self.seen[conn] = len(messages)
+        for call, conn in self.heard:
+            if conn in rig.core.conns:
+                rig.heard(call, conn)
+                self.answered.add(call)
+        self.heard.clear()
         for key, sent in rig.sent.items():
             for m in sent[self.seen.get(key, 0) :]:
                 if m.method == "INVITE":
@@ -48,10 +75,20 @@
         for call, due in self.due.items():
             assert call in self.answers or call in self.left or now <= due + 50 * MS, "no answer in time"
 
+    def finish(self):
+        first = sorted(self.first_at.values())
+        if not self.answering and len(first) >= UNANSWERED_MOST:
+            known_at = first[UNANSWERED_MOST - 1] + TOLD_US + 100 * MS
+            late = [call for call in self.again - self.crossed if self.first_at[call] > known_at]
+            assert not late, "sent again though callers never answer"
+
     def caller_lost(self, conn):
         """A close that crosses a release: the caller has not read it, and it has to come by another connection."""
         self.left |= set(self.rig.core.conns[conn].open)
+        self.own_up -= {call for call, own in self.own.items() if own == conn}
         for call, (by, at) in self.told_by.items():
+            if call in self.answered:
+                continue
             if by == conn and self.rig.now < at + CROSS_US and self.answers[call] == [isup.ANSWER, isup.RELEASE]:
                 self.answers[call].pop()
                 self.crossed.add(call)
@@ -64,15 +101,16 @@
 def day(seed):
     chance = random.Random(seed)
     rig = Rig()
-    model, number, conns, states = Model(rig), 1, ["c"], {"a": io.SERVING, "b": io.SERVING}
+    model, number, conns, states = Model(rig, bool(seed % 2)), 1, ["c"], {"a": io.SERVING, "b": io.SERVING}
     hosts = {"a": "127.0.1.1", "b": "127.0.1.2"}
     for step in range(400):
         what = chance.random()
         open_out = [(key, m) for key, m in rig.invites() if model.out.get(m.call) == key and key in rig.core.links]
         if what < 0.30:
             within = chance.choice((200, 600, 1200))
-            call = rig.setup(chance.choice(conns), within=b"%d" % within, redial=chance.random() < 0.2)
-            model.due[call] = rig.now + within * MS
+            conn = chance.choice(conns)
+            call = rig.setup(conn, within=b"%d" % within, redial=chance.random() < 0.2)
+            model.due[call], model.own[call] = rig.now + within * MS, conn
         elif what < 0.62 and open_out:
             key, m = chance.choice(open_out)
             status = chance.choices((200, 503, 500, 486, 504, 480), (12, 2, 1, 1, 1, 1))[0]
@@ -125,8 +163,10 @@
         link = held.central.any_open()
         if link is not None:
             rig.bye(link.key, call)
+    model.look()
     rig.later(10 * S)
     model.look()
+    model.finish()
     for call in model.crossed:
         assert model.answers[call] == [isup.ANSWER, isup.RELEASE], "a release lost with its connection"
     assert set(rig.ends().values()) <= {1} and len(rig.core.door) == len(rig.core.calls)
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -237,7 +237,7 @@
         self.say("info", "stopping", open=self.core.being_set_up(), standing=self.core.standing())
         self.core.stop()
         await asyncio.sleep(STOP_S)
-        while self.core.owes() or not self.callers.is_at_rest():
+        while self.core.owes(now_us()) or not self.callers.is_at_rest():
             await asyncio.sleep(LOOK_S)
         await self.callers.finish_all()
 
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -7,7 +7,7 @@
 
 Calls being set up are known by (connection, id), calls that stand by their id alone. Each seizure gets one end.
 An INVITE is built when it is written: a seizure whose connection is not up is nowhere but here and can be taken back.
-A release is owed until its caller has heard it, or its time is over with every connection tried.
+What is owed to the callers of calls that are over is in `releases`.
 """
 
 from collections import deque
@@ -21,14 +21,11 @@
 from thorndale.platform.errors import PlatformError
 from thorndale.platform.feed import fold
 from thorndale.platform.links import Central, Link
+from thorndale.platform.releases import Releases
 from thorndale.timers import Timers
 
 TEND_US = 50_000  # us between two looks at releases owed and connections to central servers
-RELEASES_KEPT = 20_000  # releases that wait for a connection from callers at most: as many as calls may stand
-FRESH_US = 3_000_000  # us since its last set-up in which no caller closes a connection: they do after 4 s
-HEARD_US = 1_000_000  # us for which a release is kept that was sent: the time in which it must be told
-AGAIN_US = 250_000  # us in which a caller that answers releases has answered: four tries in that time
-CROSS_US = 50_000  # us in which a caller's close may cross what is sent: the protocol's
+EARLY_MOST = 20_000  # such releases at most: as many as calls may stand
 EARLY_US = 30_000_000  # us for which a release of a call that is not known is kept, for the call may yet be told
 
 
@@ -52,17 +49,6 @@
     def log(self, event, **fields): ...
 
 
-class Release:
-    """What is owed to the caller of a call that stood and is over. `own`: the connection of its set-up; `by`: keys of
-    those that took it and are up; `sent_at`: when the first one did, `last_at`: when the last one did."""
-
-    __slots__ = ("call", "cause", "own", "by", "sent_at", "last_at")
-
-    def __init__(self, call, cause, own):
-        self.call, self.cause, self.own = call, cause, own
-        self.by, self.sent_at, self.last_at = set(), None, None
-
-
 class Call:
     """A call from its set-up to its release. `index` is the module's number, -1 where the module does not know it."""
 
@@ -97,9 +83,9 @@
         self.conns = CallerConnections()
         self.calls, self.links = {}, {}  # by id, being set up and standing; by key
         self.centrals, self.by_index, self.servers = {}, {}, 0
-        self.owed, self.unsent, self.done = {}, deque(), []  # id: Release; Releases that no connection took
+        self.releases, self.done = Releases(self.conns, send, self._note), []
         self.early, self.early_at = {}, deque()  # id: (central's name, cause); (when to forget, id)
-        self.stopping, self.pings, self.hears = False, 0, False  # hears: callers here answer releases, as they may
+        self.stopping, self.pings = False, 0
         self.kinds = {kind.index: kind for kind in config.kinds.values()}
         self.count = {}
 
@@ -186,7 +172,7 @@
                 passed = not self.stopping
                 self.send.to_caller(key, isup.encode(isup.RESULT, call, (isup.CAUSE, bytes((passed,)))))
             elif kind == isup.HEARD:
-                self._heard(conn, call)
+                self.releases.heard(conn, call)
             else:
                 raise PlatformError(f"type {kind} from a caller", "message")
         except PlatformError as fault:
@@ -236,7 +222,7 @@
                 setup.again,
             )
         )
-        self._release_kept(now)
+        self.releases.caller_came(now)
 
     def _stands(self, now, conn, call, setup, kind):
         """A call that stands at a central server already: taken up after a restart, without an answer."""
@@ -251,7 +237,7 @@
             why = "its server is not known" if central is None else "its server has released it"
             self.send.log("call", call=call.hex(), did="not taken up", conn=conn.key, server=setup.at, why=why)
         if central is None or name == setup.at:  # its server is gone, or has released it before this was told
-            self._release(now, call, cause if name else outcomes.CUT, conn)
+            self.releases.owe(now, call, cause if name else outcomes.CUT, conn)
             return
         held = Call(conn, call, setup, kind)
         held.central = central
@@ -259,7 +245,7 @@
         self._trace(held, "taken up", conn=conn.key, server=central.name)
         if not central.links:
             self._open(now, central)
-        self._release_kept(now)
+        self.releases.caller_came(now)
 
     def _released(self, now, conn, call, cause):
         held = conn.open.get(call)
@@ -293,10 +279,7 @@
         for held in list(conn.open.values()):
             self._note("left by a lost connection")
             self._give_up(now, held, "its connection has ended")
-        crossed = now - (HEARD_US if self.hears else CROSS_US)
-        for release in [r for r in self.owed.values() if key in r.by and r.sent_at > crossed]:
-            release.by.discard(key)
-            self._hand(now, release)
+        self.releases.connection_ended(now, conn)
 
     def idle(self, now, quiet_us):
         """Connections from callers without a set-up open and without a message for so long, in the order in which
@@ -310,64 +293,6 @@
         if held.conn is not None:
             held.conn.open.pop(held.id, None)
 
-    def _release_kept(self, now):
-        for _ in range(len(self.unsent)):
-            self._hand(now, self.unsent.popleft())
-
-    def _release(self, now, call, cause, own):
-        """A call that stood is over, and its caller is owed the release."""
-        if call not in self.owed:
-            release = self.owed[call] = Release(call, cause, own)
-            self._hand(now, release)
-
-    def _hand(self, now, release):
-        """Sends a release by one more connection: one that is ending loses it without a word, and so does one whose
-        peer is not those callers', so it goes on to the next until it is heard. First by one that has heard others,
-        then by its own, then by the one with the latest set-up: an idle one may be closed before what comes is read."""
-        conns = [c for c in self.conns.values() if (c.good or c is release.own) and c.key not in release.by]
-        conns.sort(
-            key=lambda c: (
-                c.hears,
-                c is release.own and (bool(c.open) or now - c.called_at <= FRESH_US),
-                bool(c.open),
-                c.called_at,
-            )
-        )
-        while conns:
-            conn = conns.pop()
-            taken = self.send.to_caller(conn.key, isup.release(release.call, release.cause))
-            self.send.log(
-                "call",
-                call=release.call.hex(),
-                did="release sent" if taken else "release not taken",
-                conn=conn.key,
-                own=conn is release.own,
-                quiet_ms=(now - conn.called_at) // 1000,
-            )
-            if taken:
-                self.conns.use(conn, now)
-                release.by.add(conn.key)
-                release.last_at = now
-                if release.sent_at is None:
-                    release.sent_at = now
-                else:
-                    self._note("releases sent again")
-                break
-        if not release.by and len(self.unsent) < RELEASES_KEPT:
-            self.send.log("call", call=release.call.hex(), did="release waits", why="no caller is connected")
-            self.unsent.append(release)
-        elif not release.by:
-            del self.owed[release.call]
-            self.send.log("call", call=release.call.hex(), did="release given up", why="too many wait")
-            self._note("releases given up")
-
-    def _heard(self, conn, call):
-        release = self.owed.get(call)
-        if release is not None and conn.key in release.by:
-            conn.hears = self.hears = True
-            self.send.log("call", call=call.hex(), did="release heard", conn=conn.key)
-            del self.owed[call]
-
     # ---- central servers ----
 
     def _open(self, now, central):
@@ -537,14 +462,14 @@
         seizure = call.seizure
         if call.central is central:
             self._end_standing(now, call, outcomes.ended(signal.cause), report)
-            self._release(now, call.id, signal.cause or outcomes.CUT, call.conn)
+            self.releases.owe(now, call.id, signal.cause or outcomes.CUT, call.conn)
         elif seizure is not None and seizure.central is central and not outcomes.of_a_standing(signal.cause):
             seizure.link.out.pop(call.text, None)
             self._end(now, seizure, io.RESET, report)
 
     def _keep_early(self, now, central, call, cause):
         """After a restart a server repeats what it could not release before callers have told what stands."""
-        while self.early_at and (self.early_at[0][0] <= now or len(self.early_at) >= RELEASES_KEPT):
+        while self.early_at and (self.early_at[0][0] <= now or len(self.early_at) >= EARLY_MOST):
             self.early.pop(self.early_at.popleft()[1], None)
         if call not in self.early:
             self.early[call] = central.name, cause
@@ -568,7 +493,7 @@
             self.send.log("calls cut", server=central.name, calls=len(central.standing), why=why)
         for call in list(central.standing.values()):
             self._end_standing(now, call, io.RESET, None)
-            self._release(now, call.id, outcomes.CUT, call.conn)
+            self.releases.owe(now, call.id, outcomes.CUT, call.conn)
 
     # ---- seizures ----
 
@@ -684,11 +609,7 @@
     # ---- the look at releases and connections ----
 
     def _tend(self, now):
-        for release in [r for r in self.owed.values() if r.by]:
-            if now - release.sent_at >= HEARD_US:
-                del self.owed[release.call]
-            elif self.hears and now - release.last_at >= AGAIN_US:
-                self._hand(now, release)
+        self.releases.tend(now)
         for central in list(self.centrals.values()):
             for link in list(central.links):
                 central.forget_given_up(link, now)
@@ -721,9 +642,9 @@
     def standing(self):
         return sum(len(central.standing) for central in self.centrals.values())
 
-    def owes(self):
+    def owes(self, now):
         """Whether anybody is owed an answer, a release now or one at a call's end."""
-        return bool(self.being_set_up() or self.standing() or self.owed)
+        return bool(self.being_set_up() or self.standing() or self.releases.is_due(now))
 
     def being_set_up(self):
         return sum(len(conn.open) for conn in self.conns.values())
--- a/thorndale/platform/callers.py
+++ b/thorndale/platform/callers.py
@@ -6,13 +6,14 @@
 
 
 class CallerConnection:
-    """`open` is {id: Call}; `good`: a set-up that can be used, or a caller's release, came by it; `hears`: a release
-    sent by it was answered. Times are whole microseconds; `called_at`: of its latest set-up."""
+    """`open` is {id: Call}; `unheard`: ids of calls whose releases it took and nobody has answered. `good`: a
+    set-up that can be used, or a caller's release, came by it; `hears`: a release sent by it was answered. Times are whole microseconds; `called_at`: of its latest set-up."""
 
-    __slots__ = ("key", "open", "good", "hears", "used_at", "called_at")
+    __slots__ = ("key", "open", "unheard", "good", "hears", "used_at", "called_at")
 
     def __init__(self, key, now):
         self.key, self.open, self.good, self.hears = key, {}, False, False
+        self.unheard = set()
         self.used_at, self.called_at = now, now
 
 
