A connection from callers on which something is owed is not closed as idle

Cause: idle() looked at open set-ups alone. Change: a connection knows what is owed on it (open, standing, unheard) and is idle without any. For one connection more than the bound the same goes first; one with calls that stand is given up only where no other is left, as any other may carry their releases.

--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -139,13 +139,13 @@
 
     def _for_room(self):
         """The connection to give up for one more: one that never said anything of use, else the longest idle."""
-        return next(self._leave(0), None)
+        return next(self._give_up(self.core.conns.spare(now_us())), None)
 
-    def _leave(self, quiet_us):
-        """Connections from callers that may be closed: nothing is open on them, and nothing lies in them. The core
-        is told before they are given out."""
+    def _give_up(self, hops):
+        """Those of these connections from callers on which nothing lies unread or unsent. The core is told before they
+        are given out."""
         now = now_us()
-        for hop in self.core.idle(now, quiet_us):
+        for hop in hops:
             if self.callers.is_quiet(hop):
                 self.core.caller_lost(now, hop)
                 yield hop
@@ -194,7 +194,7 @@
     def _sweep(self):
         self.callers.sweep(SILENT_MS)
         self.servers.sweep()
-        for hop in self._leave(IDLE_US):
+        for hop in self._give_up(self.core.conns.idle(now_us(), IDLE_US)):
             self.callers.finish(hop, "idle")
         self.handles["sweep"] = self.loop.call_later(SWEEP_S, self._sweep)
 
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -242,6 +242,7 @@
         held = Call(conn, call, setup, kind)
         held.central = central
         self.calls[call] = central.standing[call] = held
+        conn.standing.add(call)
         self._trace(held, "taken up", conn=conn.key, server=central.name)
         if not central.links:
             self._open(now, central)
@@ -281,10 +282,10 @@
             self._give_up(now, held, "its connection has ended")
         self.releases.connection_ended(now, conn)
 
-    def idle(self, now, quiet_us):
-        """Connections from callers without a set-up open and without a message for so long, in the order in which
-        to give them up."""
-        return self.conns.idle(now, quiet_us)
+    def is_needed(self, key):
+        """Whether something is owed on a caller's connection."""
+        conn = self.conns.get(key)
+        return conn is not None and conn.is_needed()
 
     def _close(self, held):
         """The call is no more one that is being set up."""
@@ -435,6 +436,7 @@
         central.lags.append(lag)
         taken = self.send.to_caller(call.conn.key, isup.encode(isup.ANSWER, call.id, (isup.DESCRIPTION, body)))
         call.conn.open.pop(call.id, None)
+        call.conn.standing.add(call.id)
         call.central, call.body = central, b""
         central.standing[call.id] = call
         self._trace(call, "stood", conn=call.conn.key, server=central.name, taken=taken, lag_ms=lag // 1000)
@@ -480,6 +482,7 @@
         central = call.central
         self._trace(call, "over", server=central.name, outcome=outcomes.NAMES[outcome])
         central.standing.pop(call.id, None)
+        call.conn.standing.discard(call.id)
         central.count("completed" if outcome == io.COMPLETED else "cut")
         self._close(call)
         if call.index >= 0:
