A caller's slow or unreadable message costs no answer that is owed on its connection

Callers saw: a set-up whole, then half of another one and the rest 1.7 s later: no answer to the first (lost). The same where what comes behind cannot be read. Where a stream cannot be read further, each set-up open on it has its final answer first (refused where nothing was sent on, failed else), then the connection ends in order. One that is ending is given up for room only once its last answers are out.

--- a/thorndale/net/tcp.py
+++ b/thorndale/net/tcp.py
@@ -20,6 +20,7 @@
 BACKLOG = 512  # connections that wait to be accepted
 HIGH_PART = 0.5  # of the unsent bytes allowed from which on no more is read from that peer: it must read first
 READS = 8  # reads of one connection before what came is acted on: what lies behind a message may take it back
+MESSAGE_PARTS = 4  # times as long as it may stop may a message take in all
 LINGER_S = 0.5  # s for which a finished connection is read and thrown away: closed with bytes unread, it would be
 # reset by the kernel, and what is on its way to the peer with it
 THROWN_MOST = 65_536  # bytes thrown away of it at most: a sender at full speed would take the loop's time
@@ -74,7 +75,8 @@
         self.owner, self.hop, self.sock, self.opening = owner, hop, sock, opening
         self.queue, self.unsent, self.wake, self.drained = deque(), 0, asyncio.Event(), asyncio.Event()
         self.drained.set()
-        self.framer, self.closed, self.partial_at = owner.stream.framer(), False, 0.0
+        self.framer, self.closed = owner.stream.framer(), False
+        self.partial_at = self.progress_at = 0.0  # when the message that is not whole yet began, and when it went on
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.established, self.opened_at, self.spoke = not opening, owner.loop.time(), False
         self.ending_at, self.told, self.thrown, self.kind = None, False, 0, "lost"
@@ -170,10 +172,25 @@
                 except (BlockingIOError, InterruptedError):
                     break
             owner.on_batch()
-            if not self.framer.partial:
-                self.partial_at = 0.0
-            elif came or not self.partial_at:
-                self.partial_at = loop.time()
+            self._note_progress(came)
+
+    def _note_progress(self, came):
+        """Bytes were read; `came`: with them the end of a message."""
+        if not self.framer.partial or self.ending_at is not None:
+            self.partial_at = 0.0
+            return
+        self.progress_at = self.owner.loop.time()
+        if came or not self.partial_at:
+            self.partial_at = self.progress_at
+        if self.owner.on_progress is not None:
+            self.owner.on_progress(self.hop)
+
+    def is_stuck(self, now):
+        """Whether the rest of a message has not come for too long."""
+        if not self.partial_at:
+            return False
+        stop_s = self.owner.limits.partial_ms / 1000
+        return now - self.progress_at > stop_s or now - self.partial_at > stop_s * MESSAGE_PARTS
 
     def _take(self, data):
         """Hands on the whole messages that the data ends; whether there was one. A connection that is ending is
@@ -182,16 +199,27 @@
             self.thrown += len(data)
             return False
         came = False
-        for message in self.framer.feed(data):
-            came = self.spoke = True
-            if message is KEEPALIVE:
-                self.send(b"\r\n")
-            else:
-                self.owner.on_data(message, self.hop)
-            if self.ending_at is not None:
-                break
+        try:
+            for message in self.framer.feed(data):
+                came = self.spoke = True
+                if message is KEEPALIVE:
+                    self.send(b"\r\n")
+                else:
+                    self.owner.on_data(message, self.hop)
+                if self.ending_at is not None:
+                    break
+        except self.owner.stream.faults as fault:
+            if self.owner.on_unreadable is None or self.ending_at is not None:
+                raise
+            self._unreadable(fault)
         return came
 
+    def _unreadable(self, fault):
+        """What is owed on a stream that cannot be read further is sent by whoever is told, who then finishes it."""
+        self.owner.count["cut, unreadable"] += 1
+        self.owner.fault = f"{self.hop.host}: {fault}"
+        self.owner.on_unreadable(self.hop)
+
     async def run(self):
         """The connection's life. `kind` is that of its end, which is told once: by its reader, or by whoever owns
         the task, as one cancelled before its first step runs none of this."""
@@ -228,12 +256,30 @@
     """All stream connections of one element. `on_data(data, hop)`, `on_lost(hop, kind)` and `on_batch()` as for
     `Udp`; kind is 'refused' where a connection never was, else 'lost', or as `stream` has it. `on_open(hop)`: one
     that was opened or accepted is up. `on_full()`: asked for a connection to give up when one more comes than the
-    bound allows; None refuses the new one. `on_end(hop, reason)`: why each connection ended, for the log."""
-
-    def __init__(self, loop, limits, on_data, on_lost, on_batch, stream=SIP, on_open=None, on_full=None, on_end=None):
+    bound allows; None refuses the new one. `on_end(hop, reason)`: why each connection ended, for the log.
+    `on_unreadable(hop)`: its stream cannot be read further; whoever is told finishes it. `on_progress(hop)`: part of a
+    message has come. `is_needed(hop)`: whether something is owed on it, so that no slow message may end it."""
+
+    def __init__(
+        self,
+        loop,
+        limits,
+        on_data,
+        on_lost,
+        on_batch,
+        stream=SIP,
+        *,
+        on_open=None,
+        on_full=None,
+        on_end=None,
+        on_unreadable=None,
+        on_progress=None,
+        is_needed=None,
+    ):
         self.loop, self.limits, self.stream = loop, limits, stream
         self.on_data, self.on_lost, self.on_batch = on_data, on_lost, on_batch
         self.on_open, self.on_full, self.on_end, self.fault = on_open, on_full, on_end, ""
+        self.on_unreadable, self.on_progress, self.is_needed = on_unreadable, on_progress, is_needed
         self.listeners, self.tasks, self.by_hop = [], {}, {}
         self.finishing = {}  # connections that `finish` has ended and that are not closed yet, oldest first
         self.serial, self.closing = 0, False
@@ -287,7 +333,7 @@
 
     def _make_room(self):
         """Gives a connection up for one more: one that is ending already, else the one that `on_full` names."""
-        given_up = next((c for c in self.finishing if not c.closed), None)
+        given_up = next((c for c in self.finishing if not c.closed and not c.queue), None)
         if given_up is None and self.on_full is not None:
             given_up = self.by_hop.get(self.on_full())
         if given_up is not None:
@@ -360,13 +406,13 @@
             return False
         return all(self.is_quiet(hop) for hop in self.by_hop)
 
-    async def finish_all(self):
+    async def finish_all(self, reason="", linger_s=LINGER_S):
         """Accepts nobody more and ends every connection as `finish` does, within its time."""
         self._deafen()
         for hop in list(self.by_hop):
-            self.finish(hop)
+            self.finish(hop, reason)
         if self.tasks:
-            await asyncio.wait(self.tasks.values(), timeout=LINGER_S)
+            await asyncio.wait(self.tasks.values(), timeout=linger_s)
 
     def _deafen(self):
         for task in self.acceptors:
@@ -410,21 +456,24 @@
         self.tell(connection)
 
     def sweep(self, silent_ms=0):
-        """Ends connections on which part of a message has waited too long for the rest (half-open peers), those that
+        """Ends connections on which the rest of a message has not come for too long (half-open peers), those that
         were finished and whose peers do not close and, with `silent_ms`, accepted ones on which no message has come
         for so long. What lies unread came in time: this process stood still."""
         now = self.loop.time()
-        before, silent = now - self.limits.partial_ms / 1000, now - silent_ms / 1000
         for connection in list(self.tasks):
             if connection.ending_at is not None and connection.ending_at < now - LINGER_S:
                 self.drop(connection)
         for connection in list(self.by_hop.values()):
-            if connection.partial_at and connection.partial_at < before and not connection.unread():
+            if silent_ms and not connection.spoke:
+                if now - connection.opened_at > silent_ms / 1000 and not connection.unread():
+                    self.count["cut, silent"] += 1
+                    self.drop(connection, "no whole message came")
+            elif connection.is_stuck(now) and not connection.unread() and not self._is_needed(connection.hop):
                 self.count["cut, partial"] += 1
                 self.drop(connection, "half a message for too long")
-            elif silent_ms and not connection.spoke and connection.opened_at < silent and not connection.unread():
-                self.count["cut, silent"] += 1
-                self.drop(connection, "it never said anything")
+
+    def _is_needed(self, hop):
+        return self.is_needed is not None and self.is_needed(hop)
 
     async def close(self):
         self.closing = True
--- a/thorndale/node/follow.py
+++ b/thorndale/node/follow.py
@@ -22,7 +22,7 @@
             self._lost,
             on_batch,
             Stream(feed.Framer, (PlatformError,), 4096, "unreached", "spoilt"),
-            self._opened,
+            on_open=self._opened,
         )
         self.hop, self.wait, self.again, self.silence = None, AGAIN_S, None, None
         self._connect()
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -25,10 +25,11 @@
 SERVERS_PART = 4  # one part in so many of the descriptors is kept for central servers
 CALLER_READ, SERVER_READ = 4_096, 16_384  # bytes read at one go, so that one fast sender delays no other
 UNSENT = 262_144  # bytes that wait for a peer that does not read
-PARTIAL_MS = 1_500  # half of the time in which an unusable client is owed a close
+PARTIAL_MS = 2_500  # ms for which a message may stop inside: callers may write slowly
+SILENT_MS = 2_500  # ms without a whole message after which an accepted connection ends: one of no use is owed a close
+# within 3 s
 SERVER_PARTIAL_MS = 200  # a server writes a message whole: one that stops inside swallows all answers after it
-SILENT_MS = 1_500
-IDLE_US = 8_000_000  # us after which a connection from callers is closed: callers do it after half of that
+IDLE_US = 8_000_000  # us after which a connection from callers on which nothing is owed is closed
 SWEEP_S = 0.1
 READ_FIRST_US = 3_000  # us that a timer may be late before the sockets are read ahead of it
 READ_TURNS = 3  # turns of the loop in which what lies in the sockets is read
@@ -64,9 +65,11 @@
             self._left,
             self.batch,
             Stream(isup.Framer, faults, CALLER_READ),
-            self._came,
-            self._for_room,
-            self._caller_ended,
+            on_open=self._came,
+            on_full=self._for_room,
+            on_end=self._caller_ended,
+            on_unreadable=self._unreadable,
+            is_needed=self.core.is_needed,
         )
         self.servers = Tcp(
             loop,
@@ -75,7 +78,7 @@
             self._lost,
             self.batch,
             Stream(central.Framer, faults, SERVER_READ, "unreached", "spoilt"),
-            self._opened,
+            on_open=self._opened,
             on_end=self._server_ended,
         )
         self.alarm = Alarm(loop, self.core.timers, self._due)
@@ -104,7 +107,7 @@
         return conn in self.callers.by_hop and self.callers.send(conn, data)
 
     def end_caller(self, conn):
-        self.callers.finish(conn, "an unusable message")
+        self.callers.finish(conn, "what came by it is of no use")
 
     def connect(self, host, port):
         return self.servers.connect(host, port)
@@ -131,6 +134,9 @@
     def _came(self, hop):
         self.core.caller_opened(now_us(), hop)
 
+    def _unreadable(self, hop):
+        self.core.caller_unreadable(now_us(), hop)
+
     def _message(self, message, hop):
         self.core.caller_message(now_us(), hop, message)
 
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -50,14 +50,29 @@
 
 
 class Call:
-    """A call from its set-up to its release. `index` is the module's number, -1 where the module does not know it."""
-
-    __slots__ = ("conn", "id", "text", "number", "kind", "body", "index", "seizure", "sent", "central", "last", "over")
+    """A call from its set-up to its release. `forwarded`: an INVITE was written for it. `index` is the module's number,
+    -1 where the module does not know it."""
+
+    __slots__ = (
+        "conn",
+        "id",
+        "text",
+        "number",
+        "kind",
+        "body",
+        "index",
+        "seizure",
+        "sent",
+        "central",
+        "last",
+        "over",
+        "forwarded",
+    )
 
     def __init__(self, conn, call, setup, kind):
         self.conn, self.id, self.text, self.number, self.kind = conn, call, call.hex(), setup.number, kind
         self.body, self.index, self.seizure, self.sent = setup.description, -1, None, 0
-        self.central, self.last, self.over = None, -1, False
+        self.central, self.last, self.over, self.forwarded = None, -1, False, False
 
 
 class Seizure:
@@ -186,9 +201,27 @@
         if held is not None:
             self._give_up(now, held, "a second message under its id")
         self.send.to_caller(conn.key, isup.release(call, outcomes.UNREADABLE))
+        self._turn_away(now, conn)
+
+    def caller_unreadable(self, now, key):
+        """A connection whose stream cannot be read further: whatever still comes by it is of no use."""
+        conn = self.conns.get(key)
+        if conn is not None:
+            self._turn_away(now, conn)
+
+    def _turn_away(self, now, conn):
+        """Ends a caller's connection for its own fault, after an answer to each set-up that is open on it."""
+        for held in list(conn.open.values()):
+            self._fail_now(now, held, "its connection is of no further use")
         self.caller_lost(now, conn.key)
         self.send.end_caller(conn.key)
 
+    def _fail_now(self, now, held, why):
+        """The final answer to a set-up from here and not from the module: refused where nothing was sent on for it."""
+        cause = outcomes.FAILED if held.forwarded else outcomes.REJECTED
+        self.send.to_caller(held.conn.key, isup.release(held.id, cause))
+        self._give_up(now, held, why)
+
     def _setup(self, now, conn, call, found):
         setup = isup.read_setup(found, self.config.kinds)
         if not any(call):
@@ -321,7 +354,7 @@
         if self.send.to_server(
             seizure.link.key, sip.invite(call.text, 1, call.number, call.kind.name, seizure.until - now, call.body)
         ):
-            seizure.sent_at = now
+            seizure.sent_at, call.forwarded = now, True
             seizure.central.count("sent")
             self._trace(call, "sent", server=seizure.central.name, link=seizure.link.key, attempt=seizure.number)
 
