A central server may write its answers in pieces

Callers saw: answers in two pieces 0.3 or 0.5 s apart: none of 20 calls stood, both servers held failed. Cause: SERVER_PARTIAL_MS of 200 took a slow writer for a dead stream, and a connection in the middle of a message counted as silent. Set-ups go by other connections meanwhile. What the 200 ms were for, answers swallowed as the body of one cut short, is found from what is in the body: a start line inside a message spoils the stream at once. Also: what concerns a call that stood and waits for a connection that never came up is kept for the next one.

--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -28,7 +28,7 @@
 PARTIAL_MS = 2_500  # ms for which a message may stop inside: callers may write slowly
 SILENT_MS = 2_500  # ms without a whole message after which an accepted connection ends: one of no use is owed a close
 # within 3 s
-SERVER_PARTIAL_MS = 200  # a server writes a message whole: one that stops inside swallows all answers after it
+SERVER_PARTIAL_MS = 1_000  # as PARTIAL_MS, of central servers: answers behind it on the connection wait meanwhile
 IDLE_US = 8_000_000  # us after which a connection from callers on which nothing is owed is closed
 SWEEP_S = 0.1
 READ_FIRST_US = 3_000  # us that a timer may be late before the sockets are read ahead of it
@@ -80,6 +80,7 @@
             Stream(central.Framer, faults, SERVER_READ, "unreached", "spoilt"),
             on_open=self._opened,
             on_end=self._server_ended,
+            on_progress=self._progress,
         )
         self.alarm = Alarm(loop, self.core.timers, self._due)
         self.feed, self.late_us, self.handles = None, 0, {}
@@ -137,6 +138,9 @@
     def _unreadable(self, hop):
         self.core.caller_unreadable(now_us(), hop)
 
+    def _progress(self, hop):
+        self.core.server_progress(now_us(), hop)
+
     def _message(self, message, hop):
         self.core.caller_message(now_us(), hop, message)
 
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -346,7 +346,7 @@
         if link.opened:
             self.send.to_server(link.key, data)
         else:
-            link.waiting.append(data)
+            central.waiting.append(data)
 
     def _invite(self, now, seizure):
         """The moment of a set-up: what comes before it has sent nothing, what comes after may have run."""
@@ -369,9 +369,9 @@
         if link is not None:
             link.central.opened(link, now)
             self.send.log("server connection", did="opened", server=link.central.name, link=key)
-            for data in link.waiting:
+            waiting, link.central.waiting = link.central.waiting, []
+            for data in waiting:
                 self.send.to_server(key, data)
-            link.waiting = []
             for seizure in link.out.values():
                 self._invite(now, seizure)
 
@@ -413,9 +413,19 @@
             self._cut(now, central, "refuses connections")
         if central.state == io.GONE:
             self._gone(now, central)
-        elif central.standing and kind in ("lost", "spoilt") and (central.fails < 2 or central.links):
+        elif (
+            (central.standing or central.waiting)
+            and kind in ("lost", "spoilt")
+            and (central.fails < 2 or central.links)
+        ):
             self._open(now, central)  # a release sent on the old one is sent again on the next that is opened
 
+    def server_progress(self, now, key):
+        """Part of a message has come from a central server."""
+        link = self.links.get(key)
+        if link is not None:
+            link.progressed(now)
+
     def server_signal(self, now, key, signal):
         link = self.links.get(key)
         if link is None:
--- a/thorndale/platform/central.py
+++ b/thorndale/platform/central.py
@@ -13,6 +13,7 @@
 
 MOST = 16_384  # bytes of a message: the protocol's bound
 _CAUSE = re.compile(r"Q\.850\s*;\s*cause=(\d{1,3})", re.I)
+_START = re.compile(rb"(?:^|\n)SIP/2\.0 \d{3} |(?:^|\n)(?:BYE|NOTIFY|OPTIONS) sip:\S+ SIP/2\.0\r\n")  # of a message
 ANSWERED = frozenset(("INVITE", "CANCEL", "BYE", "OPTIONS", "ACK"))
 
 
@@ -33,6 +34,8 @@
         for part in self._framer.feed(data):
             if part is not framing.KEEPALIVE:
                 yield read(part)
+        if _START.search(self._framer.held, 1):
+            raise PlatformError("another begins inside it", "message")
 
 
 class Signal(NamedTuple):
--- a/thorndale/platform/links.py
+++ b/thorndale/platform/links.py
@@ -9,6 +9,7 @@
 # one that has fallen silent must be heard by another within 1 s
 IDLE_QUIET_US = 2_000_000  # us of silence without any: some tellings of a group's state
 ANSWER_US = 300_000  # us in which a working connection answers: six times the longest way there and back
+PIECE_US = 1_000_000  # us between two pieces of a message: servers may write slowly
 DARK_US = 4_000_000  # us without any connection after which calls are held to be over: half of what the pages grant
 AGAIN_US = 50_000  # us from the first loss to the next connection, doubled while they fail
 AGAIN_MOST_US = 1_000_000  # us at most between two tries
@@ -17,22 +18,33 @@
 
 class Link:
     """A connection. `out` is {call: Seizure}, those given up and not answered yet included: answers are matched by
-    Call-ID and method alone, and a server may answer each with the same CSeq number. `waiting`: what concerns calls
-    that stand and goes once it is up. What is in a server's `links` has not ended."""
+    Call-ID and method alone, and a server may answer each with the same CSeq number. `in_message`: part of a message
+    has come and the rest is awaited. What is in a server's `links` has not ended."""
 
-    __slots__ = ("key", "central", "opened", "out", "waiting", "heard_at", "asked_at", "made_at")
+    __slots__ = ("key", "central", "opened", "out", "in_message", "heard_at", "asked_at", "made_at")
 
     def __init__(self, key, central, now):
         self.key, self.central, self.opened = key, central, False
-        self.out, self.waiting = {}, []
+        self.out, self.in_message = {}, False
         self.heard_at, self.asked_at, self.made_at = now, 0, now
 
+    def progressed(self, now):
+        """Part of a message has come."""
+        self.heard_at, self.in_message = now, True
+
+    def is_dead(self, now):
+        """Whether a test that was asked for has had no answer, nor any other byte come, for too long."""
+        patience = PIECE_US if self.in_message else ANSWER_US
+        return now - max(self.asked_at, self.heard_at) > patience
+
 
 class Central:
     """A central server as this proxy knows it. `standing` is {call id: Call}; `passed` counts what went by the
-    sockets, to be held against what the module believes."""
+    sockets, to be held against what the module believes. `waiting`: what concerns calls that stood and goes by the
+    next connection that is up."""
 
     __slots__ = (
+        "waiting",
         "index",
         "name",
         "host",
@@ -55,7 +67,7 @@
         self.host, self.port, self.pool, self.state, self.started = "", 0, -1, -1, 0
         self.links, self.standing, self.dark_since = [], {}, 0
         self.again_at, self.fails, self.broke_at = 0, 0, -1
-        self.passed, self.lags = {}, []
+        self.passed, self.lags, self.waiting = {}, [], []
 
     def count(self, what):
         self.passed[what] = self.passed.get(what, 0) + 1
@@ -66,9 +78,10 @@
         answer costs as few others as can be; none on which an earlier set-up of the call has no answer, as the two
         could not be told apart."""
         links = [link for link in self.links if call not in link.out]
-        best = min(links, key=lambda link: (not link.opened, len(link.out)), default=None)
+        best = min(links, key=lambda link: (not link.opened, link.in_message, len(link.out)), default=None)
         coming = any(not link.opened for link in self.links)
-        more = best is None or bool(best.out) and len(self.links) < LINKS_MOST and not (best.opened and coming)
+        taken = best is not None and (bool(best.out) or best.in_message)
+        more = best is None or taken and len(self.links) < LINKS_MOST and not (best.opened and coming)
         return best, more
 
     def forget_given_up(self, link, now):
@@ -93,7 +106,7 @@
         self.dark_since = 0
 
     def heard(self, link, now):
-        link.heard_at, link.asked_at = now, 0
+        link.heard_at, link.asked_at, link.in_message = now, 0, False
         self.fails = 0
 
     def failed(self, now):
@@ -115,6 +128,6 @@
         if not link.opened:
             return ""
         if link.asked_at:
-            return "dead" if now - link.asked_at > ANSWER_US else ""
+            return "dead" if link.is_dead(now) else ""
         used = link.out or self.standing
         return "ask" if now - link.heard_at > (USED_QUIET_US if used else IDLE_QUIET_US) else ""
--- a/thorndale/sip/framing.py
+++ b/thorndale/sip/framing.py
@@ -27,6 +27,11 @@
         """Whether part of a message waits for the rest."""
         return bool(self._held)
 
+    @property
+    def held(self):
+        """The bytes of that part."""
+        return self._held
+
     def feed(self, data):
         held, out = self._held, []
         held += data
