A process told to end refuses what it cannot finish and is gone before the kill

Callers saw: SIGTERM, callers go on sending on open connections; at the kill 3 to 18 set-ups that came later than 0.7 s after SIGTERM are unanswered (lost), with deadlines of 0.4, 1.5 and 3 s. Cause: set-ups were taken until nothing stood or until the kill; with callers that go on, that is until the kill.

--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -34,8 +34,9 @@
 READ_FIRST_US = 3_000  # us that a timer may be late before the sockets are read ahead of it
 READ_TURNS = 3  # turns of the loop in which what lies in the sockets is read
 TOLD_S = 5.0  # s between two log lines that hold beliefs against what passed
-STOP_S = 1.0  # s after SIGTERM in which connections and set-ups still come
-LOOK_S = 0.05
+LOOK_S = 0.02  # s between two looks at what is owed while the process ends
+LAST_READ_S = 0.06  # s at the end in which connections are still read, so that each is closed with nothing unread
+LAST_LINGER_S = 0.08  # s at the end in which peers may close their sides
 COLLECT_AT = 50_000  # objects between two collections: a call leaves no cycle behind
 
 
@@ -242,14 +243,32 @@
         self.say("info", "configuration in force", feed=config.feed)
 
     async def stop(self):
-        """SIGTERM: what still comes is served; the process ends once nothing is owed, or when it is killed: a release
-        that nobody passes on would leave its caller standing."""
+        """SIGTERM: what still comes is served or refused, as the core's plan has it; the process ends once nothing is
+        owed, or when the plan is over. Calls that stand go on: their callers tell the next process of them."""
         self.say("info", "stopping", open=self.core.being_set_up(), standing=self.core.standing())
-        self.core.stop()
-        await asyncio.sleep(STOP_S)
-        while self.core.owes(now_us()) or not self.callers.is_at_rest():
+        self.core.stop(now_us())
+        plan = self.core.shutdown
+        while not plan.is_over(now_us()):
             await asyncio.sleep(LOOK_S)
-        await self.callers.finish_all()
+            if plan.takes(now_us()):
+                continue
+            self._finish(self.core.closable(now_us()))
+            if not self.core.owes(now_us()) and self.callers.is_at_rest():
+                break
+        self.core.fail_open(now_us())
+        await self._finish_callers()
+
+    def _finish(self, hops):
+        for hop in self._give_up(hops):
+            self.callers.finish(hop, "the process is ending")
+
+    async def _finish_callers(self):
+        """Ends the connections of callers in order, each with nothing unread on it where its caller pauses at all."""
+        end = self.loop.time() + LAST_READ_S
+        while self.loop.time() < end and not (self.callers.is_at_rest() and not self.callers.by_hop):
+            self._finish(list(self.callers.by_hop))
+            await asyncio.sleep(LOOK_S / 4)
+        await self.callers.finish_all("the process is ending", LAST_LINGER_S)
 
     async def close(self):
         self.alarm.stop()
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -7,7 +7,8 @@
 
 Calls being set up are known by (connection, id), calls that stand by their id alone. Each seizure gets one end.
 An INVITE is built when it is written: a seizure whose connection is not up is nowhere but here and can be taken back.
-What is owed to the callers of calls that are over is in `releases`.
+What is owed to the callers of calls that are over is in `releases`; what is still taken while the process ends, in
+`shutdown`.
 """
 
 from collections import deque
@@ -22,6 +23,7 @@
 from thorndale.platform.feed import fold
 from thorndale.platform.links import Central, Link
 from thorndale.platform.releases import Releases
+from thorndale.platform.shutdown import Shutdown
 from thorndale.timers import Timers
 
 TEND_US = 50_000  # us between two looks at releases owed and connections to central servers
@@ -100,7 +102,7 @@
         self.centrals, self.by_index, self.servers = {}, {}, 0
         self.releases, self.done = Releases(self.conns, send, self._note), []
         self.early, self.early_at = {}, deque()  # id: (central's name, cause); (when to forget, id)
-        self.stopping, self.pings = False, 0
+        self.shutdown, self.pings = None, 0  # shutdown: its plan, once told to end
         self.kinds = {kind.index: kind for kind in config.kinds.values()}
         self.count = {}
 
@@ -184,7 +186,7 @@
             elif kind == isup.RELEASE:
                 self._released(now, conn, call, isup.cause_of(isup.parameters(data)))
             elif kind == isup.TEST:
-                passed = not self.stopping
+                passed = self.shutdown is None
                 self.send.to_caller(key, isup.encode(isup.RESULT, call, (isup.CAUSE, bytes((passed,)))))
             elif kind == isup.HEARD:
                 self.releases.heard(conn, call)
@@ -236,20 +238,24 @@
             raise PlatformError("the id is another call's", "set-up")
         conn.called_at = now
         self.conns.prove(conn)
+        within_us = setup.within_us
+        if self.shutdown is not None:
+            if not self.shutdown.takes(now):
+                self._refuse_at_shutdown(conn, call)
+                return
+            within_us = self.shutdown.time_for(now, within_us)
         held = Call(conn, call, setup, kind)
         held.index = self.door.number(held)
         self.calls[call] = conn.open[call] = held
         self._note("set-ups")
-        self._trace(
-            held, "set-up", conn=conn.key, kind=kind.name, within_ms=setup.within_us // 1000, redial=setup.redial
-        )
+        self._trace(held, "set-up", conn=conn.key, kind=kind.name, within_ms=within_us // 1000, redial=setup.redial)
         self.door.tell(
             io.Call(
                 held.index,
                 setup.call_type,
                 0,
                 int(setup.number, 16),
-                setup.within_us,
+                within_us,
                 setup.pool,
                 setup.redial,
                 setup.again,
@@ -257,6 +263,11 @@
         )
         self.releases.caller_came(now)
 
+    def _refuse_at_shutdown(self, conn, call):
+        self._note("refused at shutdown")
+        self.send.log("call", call=call.hex(), did="refused", conn=conn.key, why="the process is ending")
+        self.send.to_caller(conn.key, isup.release(call, outcomes.REJECTED))
+
     def _stands(self, now, conn, call, setup, kind):
         """A call that stands at a central server already: taken up after a restart, without an answer."""
         if call in self.calls:
@@ -681,9 +692,23 @@
     def _note(self, what):
         self.count[what] = self.count.get(what, 0) + 1
 
-    def stop(self):
-        """Tests fail from now on; set-ups that come still are served."""
-        self.stopping = True
+    # ---- the end of the process ----
+
+    def stop(self, now):
+        """Told to end: tests fail from now on, and set-ups are taken as `shutdown` has it."""
+        if self.shutdown is None:
+            longest_us = max((kind.guard_us for kind in self.kinds.values()), default=0)
+            self.shutdown = Shutdown(now, longest_us)
+
+    def closable(self, now):
+        """Keys of callers' connections that a process which is ending may close."""
+        return [conn.key for conn in list(self.conns.values()) if self.shutdown.may_close(now, conn)]
+
+    def fail_open(self, now):
+        """Every set-up that is open gets its final answer."""
+        for conn in list(self.conns.values()):
+            for held in list(conn.open.values()):
+                self._fail_now(now, held, "the process is ending")
 
     def standing(self):
         return sum(len(central.standing) for central in self.centrals.values())
