Signals that come while the process ends do not end it

Cause: the loop's handlers are taken off as it closes, and the process is not gone yet: the next signal ends it. Change: once all is owed to nobody the three signals are blocked, until the process is gone.

--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -38,6 +38,7 @@
 LAST_READ_S = 0.06  # s at the end in which connections are still read, so that each is closed with nothing unread
 LAST_LINGER_S = 0.08  # s at the end in which peers may close their sides
 COLLECT_AT = 50_000  # objects between two collections: a call leaves no cycle behind
+SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
 
 class Bounds(NamedTuple):
@@ -309,7 +310,8 @@
     ready()
     await told.wait()
     await shell.stop()
-    say("info", "stopped", counts=shell.core.count)
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # the loop's handlers end before the process does
+    say("info", "stopped", counts=shell.core.count, standing=shell.core.standing())
     await shell.close()
 
 
