thorndale run ends with code 0 too where signals go on coming

The same mistake as in the platform's front, looked for and found: the SIP daemon took its handlers off before it had ended.

--- a/thorndale/daemon/run.py
+++ b/thorndale/daemon/run.py
@@ -5,11 +5,11 @@
 import gc
 import os
 import secrets
-import signal
 import time
 
 import uvloop
 
+from thorndale import signals
 from thorndale.call.border import Border
 from thorndale.config.load import ConfigError, listener, matching
 from thorndale.daemon import keep
@@ -86,10 +86,10 @@
         close_log()
         raise StartError(f"{fault.filename} cannot be opened: {fault.strerror}; is another program there?") from None
     told = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in signals.TOLD_TO_END:
         loop.add_signal_handler(number, told.set)
     again = asyncio.Event()
-    loop.add_signal_handler(signal.SIGHUP, again.set)
+    loop.add_signal_handler(signals.TOLD_TO_RELOAD, again.set)
     heart = loop.create_task(_heart(border))
     reloader = loop.create_task(_reload(again, settings, path, border, say))
     try:
@@ -111,8 +111,7 @@
         left = border.left()
         await ends.close()
         await keeper.close()
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            loop.remove_signal_handler(number)
+        signals.hold_off()
         tasks = len(asyncio.all_tasks()) - 1
         say(
             "info",
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -3,12 +3,12 @@
 import asyncio
 import gc
 import os
-import signal
 import time
 from typing import NamedTuple
 
 import uvloop
 
+from thorndale import signals
 from thorndale.net.alarm import Alarm
 from thorndale.net.clock import now_us
 from thorndale.net.tcp import Stream, Tcp
@@ -39,7 +39,6 @@
 LAST_READ_S = 0.06  # s at the end in which connections are still read, so that each is closed with nothing unread
 LAST_LINGER_S = 0.08  # s at the end in which peers may close their sides
 COLLECT_AT = 50_000  # objects between two collections: a call leaves no cycle behind
-SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
 
 class Bounds(NamedTuple):
@@ -295,8 +294,8 @@
     )
     shell = Shell(loop, path, config, say)
     told = asyncio.Event()
-    loop.add_signal_handler(signal.SIGHUP, shell.reload)
-    for number in (signal.SIGTERM, signal.SIGINT):
+    loop.add_signal_handler(signals.TOLD_TO_RELOAD, shell.reload)
+    for number in signals.TOLD_TO_END:
         loop.add_signal_handler(number, told.set)
     try:
         shell.open()
@@ -311,7 +310,7 @@
     ready()
     await told.wait()
     await shell.stop()
-    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # the loop's handlers end before the process does
+    signals.hold_off()
     say("info", "stopped", counts=shell.core.count, standing=shell.core.standing())
     await shell.close()
 
