Plans of link faults that are added while a rig plays hold

Seen: Line kept the plans that joined its ends when it was made; tests/node/test_many.py adds its cuts and resets later, so that they never came and two tests proved less than they say. Now the list is looked at each time. Test: a plan added later. The two tests run with their faults from here on.

--- a/tests/standins/test_links.py
+++ b/tests/standins/test_links.py
@@ -67,3 +67,16 @@
         assert not list(overlaps([a, other]))
     ways = [LinkPlan(at=1, to=["x"], way="out", cut=True), LinkPlan(at=1, to=["x"], way="back", cut=True)]
     assert not list(overlaps(ways))
+
+
+# Guards against faults of links that a rig plans while it plays and that never come.
+def test_a_plan_that_is_added_later_holds_too():
+    plans = []
+    made = Line(plans, "a", "x", lambda: 0.5)
+    assert made.stream(S, 10) == S and not made.resets(S)
+    plans += [
+        LinkPlan(at=2, to=["x"], cut=True),
+        LinkPlan(at=4, to=["x"], reset=True),
+        LinkPlan(at=2, to=["y"], reset=True),
+    ]
+    assert made.stream(2 * S, 10) is None and made.resets(4 * S) and not made.resets(2 * S)
--- a/thorndale/standins/links.py
+++ b/thorndale/standins/links.py
@@ -69,18 +69,19 @@
 
 
 class Line:
-    """What passes from `a` to `b`."""
+    """What passes from `a` to `b`. `plans` is looked at anew each time: a plan that is added later holds too."""
 
     def __init__(self, plans, a, b, chance):
-        self.plans = [p for p in plans if p.sides(a, b)]
+        self.plans, self.ends = plans, (a, b)
         self.chance, self.free_at, self.last_at = chance, 0, 0
 
+    def _lasting(self, now):
+        return [plan for plan in self.plans if plan.lasts(now) and plan.sides(*self.ends)]
+
     def carry(self, now, size):
         """Moments of delivery of a datagram that comes now."""
         at, times = now, 1
-        for plan in self.plans:
-            if not plan.lasts(now):
-                continue
+        for plan in self._lasting(now):
             if plan.cut or plan.reset or (plan.lose and self.chance() < plan.lose):
                 return []
             if plan.double and self.chance() < plan.double:
@@ -98,9 +99,7 @@
     def stream(self, now, size):
         """When the next bytes of a stream are delivered, in their order; None: not before `heals`."""
         at = now
-        for plan in self.plans:
-            if not plan.lasts(now):
-                continue
+        for plan in self._lasting(now):
             if plan.cut:
                 return None
             at += plan.delay_ms * 1000
@@ -112,7 +111,7 @@
 
     def heals(self, now):
         """When the cuts that last now are over."""
-        return max([int((p.at + p.seconds) * 1e6) for p in self.plans if p.cut and p.lasts(now)], default=now)
+        return max([int((p.at + p.seconds) * 1e6) for p in self._lasting(now) if p.cut], default=now)
 
     def resets(self, now):
-        return any(p.reset and p.lasts(now) for p in self.plans)
+        return any(plan.reset for plan in self._lasting(now))
