A soak of short, dense trials: real proxies under drawn faults, judged by the sockets

Each seed draws 3 to 8 proxies, settings (classes, deadlines of 0.3 to 5 s, dial times, grace), callers, servers, feeds and overlapping faults of five lines; the judge is pure, knows no log, and is tested rule by rule (22 cases). What the first runs found was in the stand-ins: a release written on a connection that its proxy had closed counted as sent, a hung server accepted, two attempts counted as out at once where one was read from a closed connection.

--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -7,7 +7,8 @@
 
 
 class ServerPlan(NamedTuple):
-    """A central server. `refuses`, `spoils`, `in_pieces`: parts of its answers; `pieces_s`: s between two halves."""
+    """A central server. `refuses`, `spoils`, `in_pieces`: parts of its answers; `pieces_s`: s between two halves.
+    `lines`: calls that can stand there at one time."""
 
     name: str
     pool: int
@@ -16,6 +17,7 @@
     spoils: float
     in_pieces: float
     pieces_s: float
+    lines: int
 
 
 class CallersPlan(NamedTuple):
@@ -90,6 +92,7 @@
         chance.choice((0.0, 0.0, 0.02)),
         chance.choice((0.0, 0.0, 0.1, 0.3)),
         chance.choice((0.1, 0.3, 0.5)),
+        chance.choice((40, 100, 400)),
     )
 
 
--- /dev/null
+++ b/tests/soak/test_judge.py
@@ -0,0 +1,150 @@
+"""The judge of the soak: each rule is broken by a story of its own, and kept by its neighbour."""
+
+import pytest
+
+from bench.soak.judge import Judge
+from bench.soak.plan import draw
+
+RULES = draw(1).settings["rules"] | {"drainGraceMs": 500.0, "fallMs": 1500.0, "fallMultiple": 2.0}
+CALL, SERVER, BODY = "00000001", "s-0000000a", b"body"
+
+
+@pytest.fixture
+def judge():
+    made = Judge(RULES, 1)
+    made.started(0.0, 0)
+    made.ready(0.2, 0)
+    return made
+
+
+def set_up(judge, at=1.0, within_s=1.0, call=CALL):
+    connection = judge.opened(at, 0)
+    judge.set_up(at, call, connection, within_s)
+    return connection
+
+
+def stands(judge, at=1.0):
+    connection = set_up(judge, at)
+    attempt = judge.attempt(at + 0.01, SERVER, 0, CALL)
+    judge.stood(at + 0.02, CALL, BODY)
+    judge.attempt_ended(at + 0.02, CALL, attempt, "answered")
+    judge.answered(at + 0.03, CALL, BODY)
+    return connection
+
+
+def rules_broken(judge, now=30.0):
+    return [found.rule for found in judge.finish(now)]
+
+
+def test_a_call_that_is_answered_and_released_in_time_breaks_nothing(judge):
+    stands(judge)
+    judge.over(2.0, CALL, 0, SERVER, "released", True)
+    judge.released(2.9, CALL, 16)
+    assert not rules_broken(judge)
+
+
+@pytest.mark.parametrize(("told_at", "broken"), [(None, ["lost"]), (3.2, ["lost"]), (3.0, [])])
+def test_a_release_is_told_within_a_second(judge, told_at, broken):
+    stands(judge)
+    judge.over(2.0, CALL, 0, SERVER, "released", True)
+    if told_at is not None:
+        judge.released(told_at, CALL, 16)
+    assert rules_broken(judge) == broken
+
+
+def test_a_release_that_could_not_be_sent_has_eight_seconds(judge):
+    stands(judge)
+    judge.over(2.0, CALL, 0, SERVER, "cut", False)
+    judge.released(9.9, CALL, 41)
+    assert not rules_broken(judge)
+
+
+@pytest.mark.parametrize(("closed_at", "broken"), [(None, ["lost"]), (1.5, ["lost"]), (1.04, [])])
+def test_a_set_up_without_an_answer_is_lost_unless_it_crossed_the_close(judge, closed_at, broken):
+    connection = set_up(judge)
+    if closed_at is not None:
+        judge.closed(closed_at, connection, "proxy")
+    assert rules_broken(judge) == broken
+
+
+@pytest.mark.parametrize(("sent_at", "broken"), [(5.6, []), (5.8, ["lost"])])
+def test_what_a_kill_finds_unanswered_is_lost_where_it_came_late(judge, sent_at, broken):
+    judge.run(0, told_at=5.0)
+    connection = set_up(judge, sent_at, 3.0)
+    judge.run(0, killed_at=6.0)
+    judge.ended(6.0, 0, -9)
+    judge.closed(6.0, connection, "proxy")
+    assert rules_broken(judge) == broken
+
+
+def test_an_end_that_nobody_asked_for_is_a_crash(judge):
+    judge.ended(3.0, 0, 0)
+    assert rules_broken(judge) == ["crash"]
+
+
+@pytest.mark.parametrize("second", ["answered", "released"])
+def test_a_second_final_answer_is_found(judge, second):
+    set_up(judge)
+    judge.calls[CALL].bodies.add(BODY)
+    judge.released(1.1, CALL, 42)
+    if second == "answered":
+        judge.answered(1.2, CALL, BODY)
+    else:
+        judge.released(1.2, CALL, 42)
+    assert rules_broken(judge) == ["lost"]
+
+
+def test_an_answer_that_no_server_made_is_found(judge):
+    set_up(judge)
+    judge.answered(1.1, CALL, b"another")
+    assert rules_broken(judge) == ["lost"]
+
+
+@pytest.mark.parametrize(("second_at", "broken"), [(1.2, ["duplicate"]), (1.5, [])])
+def test_two_attempts_out_at_one_time_are_found(judge, second_at, broken):
+    set_up(judge)
+    first = judge.attempt(1.1, SERVER, 0, CALL)
+    second = judge.attempt(second_at, "s-0000000b", 0, CALL)
+    judge.attempt_ended(1.5, CALL, first, "refused")
+    judge.attempt_ended(1.7, CALL, second, "refused")
+    judge.released(1.8, CALL, 41)
+    assert rules_broken(judge) == broken
+
+
+@pytest.mark.parametrize(("at", "broken"), [(1.5, []), (1.6, ["drain"])])
+def test_an_attempt_at_a_server_told_leaving_has_its_grace(judge, at, broken):
+    judge.told(1.0, 0, SERVER, 1, 1.0)
+    set_up(judge, at)
+    judge.attempt_ended(at, CALL, judge.attempt(at, SERVER, 0, CALL), "refused")
+    judge.released(at + 0.1, CALL, 41)
+    assert rules_broken(judge) == broken
+
+
+@pytest.mark.parametrize(("at", "broken"), [(2.3, []), (2.4, ["left"])])
+def test_an_attempt_for_a_caller_that_has_left_is_found(judge, at, broken):
+    set_up(judge, 1.9)
+    judge.left(2.0, CALL)
+    judge.attempt_ended(at, CALL, judge.attempt(at, SERVER, 0, CALL), "cancelled")
+    assert rules_broken(judge) == broken
+
+
+def test_more_than_a_cold_server_bears_is_found(judge):
+    judge.started_cold(1.0, SERVER, 20.0)
+    for number in range(40):
+        call = f"{number:08x}"
+        set_up(judge, 1.0 + number / 100, call=call)
+        judge.attempt_ended(1.5, call, judge.attempt(1.0 + number / 100, SERVER, 0, call), "refused")
+        judge.released(1.6, call, 41)
+        if number == 28:
+            assert not judge.breaks
+    assert set(rules_broken(judge)) == {"failback"}
+
+
+def test_a_seed_draws_the_same_trial_and_another_seed_another():
+    assert draw(7) == draw(7) != draw(8)
+    plans = [draw(seed) for seed in range(1, 60)]
+    assert {plan.proxies for plan in plans} == set(range(3, 9))
+    played = {fault.what for plan in plans for fault in plan.faults}
+    from bench.soak.play import FAULTS
+
+    assert played == set(FAULTS)
