platform/border.py: calls and attempts in a room of their own, connections by their name

Tidying: Call and Seizure move to platform/calls.py, conn and conns are connection and connections, in the log too. No other change.

--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -67,20 +67,20 @@
         self.rig.later(700 * MS)
 
     def takes_back(self):
-        if "c" in self.rig.core.conns and self.call in self.rig.core.conns["c"].open:
+        if "c" in self.rig.core.connections and self.call in self.rig.core.connections["c"].open:
             self.gone_at, self.stays = self.rig.now, False
         self.rig.release(self.call)
 
     def closes(self):
-        if "c" in self.rig.core.conns:
-            if self.call in self.rig.core.conns["c"].open:
+        if "c" in self.rig.core.connections:
+            if self.call in self.rig.core.connections["c"].open:
                 self.gone_at, self.stays = self.rig.now, False
             self.rig.do("caller_lost", "c")
 
     def spoils(self):
         """A malformed last message on the caller's connection, under an id of its own."""
-        if "c" in self.rig.core.conns:
-            if self.call in self.rig.core.conns["c"].open:
+        if "c" in self.rig.core.connections:
+            if self.call in self.rig.core.connections["c"].open:
                 self.gone_at, self.stays = self.rig.now, False
             self.rig.do("caller_message", "c", (99, b"\x99" * 8, b""))
 
@@ -136,14 +136,14 @@
         self.rig.ending.add("c")
 
     def heard(self):
-        if "c" in self.rig.core.conns:
+        if "c" in self.rig.core.connections:
             self.rig.heard(self.call)
 
     def end(self):
         """All that may still come has come: nothing is owed and nothing kept."""
         rig = self.rig
         rig.ending -= {key for key in rig.ending if type(key) is int}
-        if "c" in rig.ending and "c" in rig.core.conns:
+        if "c" in rig.ending and "c" in rig.core.connections:
             self.closes()
         for _ in range(30):
             rig.up()
--- a/tests/platform/test_platform_rules.py
+++ b/tests/platform/test_platform_rules.py
@@ -47,14 +47,14 @@
                     self.first_at.setdefault(call, now)
                     if self.answering:
                         self.heard.append((call, conn))
-                    if conn == self.own.get(call) and conn in rig.core.conns:
+                    if conn == self.own.get(call) and conn in rig.core.connections:
                         self.own_up.add(call)
                 assert kinds in ([isup.ANSWER], [isup.RELEASE], [isup.ANSWER, isup.RELEASE]), (call, kinds)
                 assert call not in self.left or len(kinds) > 1 or kinds == [isup.RELEASE]
                 assert len(kinds) > 1 or now <= self.due[call] + 50 * MS
             self.seen[conn] = len(messages)
         for call, conn in self.heard:
-            if conn in rig.core.conns:
+            if conn in rig.core.connections:
                 rig.heard(call, conn)
                 self.answered.add(call)
         self.heard.clear()
@@ -84,7 +84,7 @@
 
     def caller_lost(self, conn):
         """A close that crosses a release: the caller has not read it, and it has to come by another connection."""
-        self.left |= set(self.rig.core.conns[conn].open)
+        self.left |= set(self.rig.core.connections[conn].open)
         self.own_up -= {call for call, own in self.own.items() if own == conn}
         for call, (by, at) in self.told_by.items():
             if call in self.answered:
@@ -123,7 +123,7 @@
                 rig.bye(held.central.any_open().key, call, chance.choice((16, 41)))
             elif held.central is None:
                 model.left.add(call)
-                rig.release(call, held.conn.key)
+                rig.release(call, held.connection.key)
         elif what < 0.70 and rig.core.links:
             key = chance.choice(sorted(rig.core.links))
             rig.do(
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -106,11 +106,11 @@
 
     # ---- what the core wants done ----
 
-    def to_caller(self, conn, data):
-        return conn in self.callers.by_hop and self.callers.send(conn, data)
+    def to_caller(self, connection, data):
+        return connection in self.callers.by_hop and self.callers.send(connection, data)
 
-    def end_caller(self, conn):
-        self.callers.finish(conn, "what came by it is of no use")
+    def end_caller(self, connection):
+        self.callers.finish(connection, "what came by it is of no use")
 
     def connect(self, host, port):
         return self.servers.connect(host, port)
@@ -129,7 +129,7 @@
     # ---- what happens on the sockets ----
 
     def _caller_ended(self, hop, reason):
-        self.say("info", "connection", did="ended", conn=hop, why=reason)
+        self.say("info", "connection", did="ended", connection=hop, why=reason)
 
     def _server_ended(self, hop, reason):
         self.say("info", "server connection", did="ended", link=hop, why=reason)
@@ -151,7 +151,7 @@
 
     def _for_room(self):
         """The connection to give up for one more: one that never said anything of use, else the longest idle."""
-        return next(self._give_up(self.core.conns.spare(now_us())), None)
+        return next(self._give_up(self.core.connections.spare(now_us())), None)
 
     def _give_up(self, hops):
         """Those of these connections from callers on which nothing lies unread or unsent. The core is told before they
@@ -206,7 +206,7 @@
     def _sweep(self):
         self.callers.sweep(SILENT_MS)
         self.servers.sweep()
-        for hop in self._give_up(self.core.conns.idle(now_us(), IDLE_US)):
+        for hop in self._give_up(self.core.connections.idle(now_us(), IDLE_US)):
             self.callers.finish(hop, "idle")
         self.handles["sweep"] = self.loop.call_later(SWEEP_S, self._sweep)
 
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -18,6 +18,7 @@
 from thorndale.platform import central as sip
 from thorndale.platform import isup, outcomes
 from thorndale.platform.callers import CallerConnections
+from thorndale.platform.calls import Call, Seizure
 from thorndale.platform.description import is_description
 from thorndale.platform.errors import PlatformError
 from thorndale.platform.feed import fold
@@ -34,10 +35,10 @@
 class Send:
     """What the core wants done on sockets; a shell or a test gives these."""
 
-    def to_caller(self, conn, data):
+    def to_caller(self, connection, data):
         """Whether the connection takes it: one that is ending does not."""
 
-    def end_caller(self, conn):
+    def end_caller(self, connection):
         """Closes a caller's connection once what was sent is out."""
 
     def connect(self, host, port):
@@ -51,56 +52,14 @@
     def log(self, event, **fields): ...
 
 
-class Call:
-    """A call from its set-up to its release. `forwarded`: an INVITE was written for it. `index` is the module's number,
-    -1 where the module does not know it."""
-
-    __slots__ = (
-        "conn",
-        "id",
-        "text",
-        "number",
-        "kind",
-        "body",
-        "index",
-        "seizure",
-        "sent",
-        "central",
-        "last",
-        "over",
-        "forwarded",
-    )
-
-    def __init__(self, conn, call, setup, kind):
-        self.conn, self.id, self.text, self.number, self.kind = conn, call, call.hex(), setup.number, kind
-        self.body, self.index, self.seizure, self.sent = setup.description, -1, None, 0
-        self.central, self.last, self.over, self.forwarded = None, -1, False, False
-
-
-class Seizure:
-    """One set-up at a central server, wanted from `since` to `until`. `sent_at`: when its INVITE was written, None
-    before. `over`: its end was told; an answer that comes still is released at once."""
-
-    __slots__ = ("border", "call", "number", "central", "link", "since", "until", "sent_at", "timer", "over")
-
-    def __init__(self, border, call, number, central, now, until):
-        self.border, self.call, self.number, self.central = border, call, number, central
-        self.since, self.until, self.sent_at = now, until, None
-        self.link, self.timer, self.over = None, None, False
-
-    def due(self, now, name):
-        self.timer = None
-        self.border.timed_out(now, self)
-
-
 class Border:
     def __init__(self, config, module, send, offset):
         self.config, self.send, self.offset = config, send, offset
         self.door, self.timers = Door(module), Timers()
-        self.conns = CallerConnections()
+        self.connections = CallerConnections()
         self.calls, self.links = {}, {}  # by id, being set up and standing; by key
         self.centrals, self.by_index, self.servers = {}, {}, 0
-        self.releases, self.done = Releases(self.conns, send, self._note), []
+        self.releases, self.done = Releases(self.connections, send, self._note), []
         self.early, self.early_at = {}, deque()  # id: (central's name, cause); (when to forget, id)
         self.shutdown, self.pings = None, 0  # shutdown: its plan, once told to end
         self.kinds = {kind.index: kind for kind in config.kinds.values()}
@@ -170,85 +129,87 @@
     # ---- callers ----
 
     def caller_opened(self, now, key):
-        self.conns.add(key, now)
-        self.send.log("connection", did="opened", conn=key)
+        self.connections.add(key, now)
+        self.send.log("connection", did="opened", connection=key)
 
     def caller_message(self, now, key, message):
         """One framed message from a caller: (type, call, parameters)."""
-        conn = self.conns.get(key)
-        if conn is None:
+        connection = self.connections.get(key)
+        if connection is None:
             return
         kind, call, data = message
-        self.conns.use(conn, now)
+        self.connections.use(connection, now)
         try:
             if kind == isup.SETUP:
-                self._setup(now, conn, call, isup.parameters(data))
+                self._setup(now, connection, call, isup.parameters(data))
             elif kind == isup.RELEASE:
-                self._released(now, conn, call, isup.cause_of(isup.parameters(data)))
+                self._released(now, connection, call, isup.cause_of(isup.parameters(data)))
             elif kind == isup.TEST:
                 passed = self.shutdown is None
                 self.send.to_caller(key, isup.encode(isup.RESULT, call, (isup.CAUSE, bytes((passed,)))))
             elif kind == isup.HEARD:
-                self.releases.heard(conn, call)
+                self.releases.heard(connection, call)
             else:
                 raise PlatformError(f"type {kind} from a caller", "message")
         except PlatformError as fault:
-            self._bad(now, conn, call, fault)
+            self._bad(now, connection, call, fault)
 
-    def _bad(self, now, conn, call, fault):
+    def _bad(self, now, connection, call, fault):
         """What cannot be used is turned away and its connection closed; nobody else's calls are touched."""
         self._note("bad from callers")
-        self.send.log("unusable message", fault=str(fault), conn=conn.key, call=call.hex())
-        held = conn.open.get(call)
+        self.send.log("unusable message", fault=str(fault), connection=connection.key, call=call.hex())
+        held = connection.open.get(call)
         if held is not None:
             self._give_up(now, held, "a second message under its id")
-        self.send.to_caller(conn.key, isup.release(call, outcomes.UNREADABLE))
-        self._turn_away(now, conn)
+        self.send.to_caller(connection.key, isup.release(call, outcomes.UNREADABLE))
+        self._turn_away(now, connection)
 
     def caller_unreadable(self, now, key):
         """A connection whose stream cannot be read further: whatever still comes by it is of no use."""
-        conn = self.conns.get(key)
-        if conn is not None:
-            self._turn_away(now, conn)
+        connection = self.connections.get(key)
+        if connection is not None:
+            self._turn_away(now, connection)
 
-    def _turn_away(self, now, conn):
+    def _turn_away(self, now, connection):
         """Ends a caller's connection for its own fault, after an answer to each set-up that is open on it."""
-        for held in list(conn.open.values()):
+        for held in list(connection.open.values()):
             self._fail_now(now, held, "its connection is of no further use")
-        self.caller_lost(now, conn.key)
-        self.send.end_caller(conn.key)
+        self.caller_lost(now, connection.key)
+        self.send.end_caller(connection.key)
 
     def _fail_now(self, now, held, why):
         """The final answer to a set-up from here and not from the module: refused where nothing was sent on for it."""
         cause = outcomes.FAILED if held.forwarded else outcomes.REJECTED
-        self.send.to_caller(held.conn.key, isup.release(held.id, cause))
+        self.send.to_caller(held.connection.key, isup.release(held.id, cause))
         self._give_up(now, held, why)
 
-    def _setup(self, now, conn, call, found):
+    def _setup(self, now, connection, call, found):
         setup = isup.read_setup(found, self.config.kinds)
         if not any(call):
             raise PlatformError("no id", "set-up")
         kind = self.kinds[setup.call_type]
         if setup.at:
-            self._stands(now, conn, call, setup, kind)
+            self._stands(now, connection, call, setup, kind)
             return
-        if call in conn.open:
+        if call in connection.open:
             raise PlatformError("two set-ups under one id", "set-up")
         if call in self.calls:
             raise PlatformError("the id is another call's", "set-up")
-        conn.called_at = now
-        self.conns.prove(conn)
+        connection.called_at = now
+        self.connections.prove(connection)
         within_us = setup.within_us
         if self.shutdown is not None:
             if not self.shutdown.takes(now):
-                self._refuse_at_shutdown(conn, call)
+                self._refuse_at_shutdown(connection, call)
                 return
             within_us = self.shutdown.time_for(now, within_us)
-        held = Call(conn, call, setup, kind)
+        held = Call(connection, call, setup, kind)
         held.index = self.door.number(held)
-        self.calls[call] = conn.open[call] = held
+        self.calls[call] = connection.open[call] = held
         self._note("set-ups")
-        self._trace(held, "set-up", conn=conn.key, kind=kind.name, within_ms=within_us // 1000, redial=setup.redial)
+        self._trace(
+            held, "set-up", connection=connection.key, kind=kind.name, within_ms=within_us // 1000, redial=setup.redial
+        )
         self.door.tell(
             io.Call(
                 held.index,
@@ -263,37 +224,37 @@
         )
         self.releases.caller_came(now)
 
-    def _refuse_at_shutdown(self, conn, call):
+    def _refuse_at_shutdown(self, connection, call):
         self._note("refused at shutdown")
-        self.send.log("call", call=call.hex(), did="refused", conn=conn.key, why="the process is ending")
-        self.send.to_caller(conn.key, isup.release(call, outcomes.REJECTED))
+        self.send.log("call", call=call.hex(), did="refused", connection=connection.key, why="the process is ending")
+        self.send.to_caller(connection.key, isup.release(call, outcomes.REJECTED))
 
-    def _stands(self, now, conn, call, setup, kind):
+    def _stands(self, now, connection, call, setup, kind):
         """A call that stands at a central server already: taken up after a restart, without an answer."""
         if call in self.calls:
             return
-        conn.called_at = now
-        self.conns.prove(conn)
+        connection.called_at = now
+        self.connections.prove(connection)
         self._note("taken up")
         central = self.centrals.get(setup.at)
         name, cause = self.early.get(call, ("", outcomes.CUT))
         if central is None or name == setup.at:
             why = "its server is not known" if central is None else "its server has released it"
-            self.send.log("call", call=call.hex(), did="not taken up", conn=conn.key, server=setup.at, why=why)
-        if central is None or name == setup.at:  # its server is gone, or has released it before this was told
-            self.releases.owe(now, call, cause if name else outcomes.CUT, conn)
+            fields = {"connection": connection.key, "server": setup.at, "why": why}
+            self.send.log("call", call=call.hex(), did="not taken up", **fields)
+            self.releases.owe(now, call, cause if name else outcomes.CUT, connection)
             return
-        held = Call(conn, call, setup, kind)
+        held = Call(connection, call, setup, kind)
         held.central = central
         self.calls[call] = central.standing[call] = held
-        conn.standing.add(call)
-        self._trace(held, "taken up", conn=conn.key, server=central.name)
+        connection.standing.add(call)
+        self._trace(held, "taken up", connection=connection.key, server=central.name)
         if not central.links:
             self._open(now, central)
         self.releases.caller_came(now)
 
-    def _released(self, now, conn, call, cause):
-        held = conn.open.get(call)
+    def _released(self, now, connection, call, cause):
+        held = connection.open.get(call)
         if held is not None:
             self._note("given up by callers")
             self._give_up(now, held, "released by its caller")
@@ -301,9 +262,9 @@
         held = self.calls.get(call)
         if held is not None and held.central is not None:
             self._note("released by callers")
-            self._trace(held, "released by its caller", conn=conn.key, cause=cause)
+            self._trace(held, "released by its caller", connection=connection.key, cause=cause)
             central = held.central
-            self.conns.prove(conn)
+            self.connections.prove(connection)
             self._to(now, central, sip.bye(held.text, 2, held.number, cause or outcomes.CLEARED))
             self._end_standing(now, held, io.COMPLETED, None)
 
@@ -318,25 +279,25 @@
 
     def caller_lost(self, now, key):
         """A connection from callers has ended; calls that stand go on."""
-        conn = self.conns.pop(key)
-        if conn is None:
+        connection = self.connections.pop(key)
+        if connection is None:
             return
-        for held in list(conn.open.values()):
+        for held in list(connection.open.values()):
             self._note("left by a lost connection")
             self._give_up(now, held, "its connection has ended")
-        self.releases.connection_ended(now, conn)
+        self.releases.connection_ended(now, connection)
 
     def is_needed(self, key):
         """Whether something is owed on a caller's connection."""
-        conn = self.conns.get(key)
-        return conn is not None and conn.is_needed()
+        connection = self.connections.get(key)
+        return connection is not None and connection.is_needed()
 
     def _close(self, held):
         """The call is no more one that is being set up."""
         held.over = True
         self.calls.pop(held.id, None)
-        if held.conn is not None:
-            held.conn.open.pop(held.id, None)
+        if held.connection is not None:
+            held.connection.open.pop(held.id, None)
 
     # ---- central servers ----
 
@@ -488,12 +449,12 @@
         lag = now - seizure.sent_at
         central.count("stood")
         central.lags.append(lag)
-        taken = self.send.to_caller(call.conn.key, isup.encode(isup.ANSWER, call.id, (isup.DESCRIPTION, body)))
-        call.conn.open.pop(call.id, None)
-        call.conn.standing.add(call.id)
+        taken = self.send.to_caller(call.connection.key, isup.encode(isup.ANSWER, call.id, (isup.DESCRIPTION, body)))
+        call.connection.open.pop(call.id, None)
+        call.connection.standing.add(call.id)
         call.central, call.body = central, b""
         central.standing[call.id] = call
-        self._trace(call, "stood", conn=call.conn.key, server=central.name, taken=taken, lag_ms=lag // 1000)
+        self._trace(call, "stood", connection=call.connection.key, server=central.name, taken=taken, lag_ms=lag // 1000)
         self.door.tell(io.Stood(call.index, seizure.number, central.index, lag))
         if not taken:  # its caller's connection is ending: it stands for nobody
             self.send.to_server(seizure.link.key, sip.bye(call.text, 2, call.number, outcomes.CLEARED))
@@ -518,7 +479,7 @@
         seizure = call.seizure
         if call.central is central:
             self._end_standing(now, call, outcomes.ended(signal.cause), report)
-            self.releases.owe(now, call.id, signal.cause or outcomes.CUT, call.conn)
+            self.releases.owe(now, call.id, signal.cause or outcomes.CUT, call.connection)
         elif seizure is not None and seizure.central is central and not outcomes.of_a_standing(signal.cause):
             seizure.link.out.pop(call.text, None)
             self._end(now, seizure, io.RESET, report)
@@ -536,7 +497,7 @@
         central = call.central
         self._trace(call, "over", server=central.name, outcome=outcomes.NAMES[outcome])
         central.standing.pop(call.id, None)
-        call.conn.standing.discard(call.id)
+        call.connection.standing.discard(call.id)
         central.count("completed" if outcome == io.COMPLETED else "cut")
         self._close(call)
         if call.index >= 0:
@@ -550,7 +511,7 @@
             self.send.log("calls cut", server=central.name, calls=len(central.standing), why=why)
         for call in list(central.standing.values()):
             self._end_standing(now, call, io.RESET, None)
-            self.releases.owe(now, call.id, outcomes.CUT, call.conn)
+            self.releases.owe(now, call.id, outcomes.CUT, call.connection)
 
     # ---- seizures ----
 
@@ -635,10 +596,10 @@
             self._note("failed")
 
     def _answer(self, call, cause, comeback_us):
-        key = call.conn.key
+        key = call.connection.key
         self._close(call)
         taken = self.send.to_caller(key, isup.release(call.id, cause, comeback_us))
-        self._trace(call, "refused", conn=key, cause=cause, taken=taken, attempts=call.sent)
+        self._trace(call, "refused", connection=key, cause=cause, taken=taken, attempts=call.sent)
         self.done.append(call)
 
     def _seize(self, now, call, action):
@@ -702,12 +663,14 @@
 
     def closable(self, now):
         """Keys of callers' connections that a process which is ending may close."""
-        return [conn.key for conn in list(self.conns.values()) if self.shutdown.may_close(now, conn)]
+        return [
+            connection.key for connection in list(self.connections.values()) if self.shutdown.may_close(now, connection)
+        ]
 
     def fail_open(self, now):
         """Every set-up that is open gets its final answer."""
-        for conn in list(self.conns.values()):
-            for held in list(conn.open.values()):
+        for connection in list(self.connections.values()):
+            for held in list(connection.open.values()):
                 self._fail_now(now, held, "the process is ending")
 
     def standing(self):
@@ -718,4 +681,4 @@
         return bool(self.being_set_up() or self.standing() or self.releases.is_due(now))
 
     def being_set_up(self):
-        return sum(len(conn.open) for conn in self.conns.values())
+        return sum(len(connection.open) for connection in self.connections.values())
--- a/thorndale/platform/releases.py
+++ b/thorndale/platform/releases.py
@@ -56,7 +56,7 @@
         release = self.owed.get(call)
         if release is not None and connection.key in release.by:
             connection.hears = self.answered = True
-            self.send.log("call", call=call.hex(), did="release heard", conn=connection.key)
+            self.send.log("call", call=call.hex(), did="release heard", connection=connection.key)
             self._forget(release)
 
     def caller_came(self, now):
@@ -133,7 +133,7 @@
             "call",
             call=release.call.hex(),
             did="release sent" if taken else "release not taken",
-            conn=connection.key,
+            connection=connection.key,
             own=connection is release.own,
             quiet_ms=(now - connection.called_at) // 1000,
         )
