--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -96,11 +96,13 @@
 
     # ---- proxies ----
 
-    def run(self, proxy, **changes):
-        self.runs[proxy][-1] = self.runs[proxy][-1]._replace(**changes)
+    def run(self, proxy, number=-1, **changes):
+        self.runs[proxy][number] = self.runs[proxy][number]._replace(**changes)
 
     def started(self, now, proxy):
+        """The number of this run of the proxy."""
         self.runs[proxy].append(Run(now))
+        return len(self.runs[proxy]) - 1
 
     def ready(self, now, proxy):
         run = self.runs[proxy][-1]
@@ -108,9 +110,9 @@
         if now - run.started_at > READY_S + self.lag_s:
             self.broke(now, "ready", "", f"proxy {proxy} took {now - run.started_at:.1f} s to be ready")
 
-    def ended(self, now, proxy, code):
-        run = self.runs[proxy][-1]
-        self.run(proxy, ended_at=now)
+    def ended(self, now, proxy, number, code):
+        run = self.runs[proxy][number]
+        self.run(proxy, number, ended_at=now)
         if run.killed_at is None and (code != 0 or run.told_at is None):
             self.broke(now, "crash", "", f"proxy {proxy} ended with code {code}, SIGTERM at {run.told_at}")
 
--- a/bench/soak/proxies.py
+++ b/bench/soak/proxies.py
@@ -54,9 +54,9 @@
     async def start(self):
         environ = dict(os.environ, GW_CONFIG=str(self.config), PYTHONDONTWRITEBYTECODE="1")
         self.runs += 1
-        self.trial.judge.started(self.trial.now(), self.number)
+        run = self.trial.judge.started(self.trial.now(), self.number)
         self.process = subprocess.Popen([sys.executable, *self.command], env=environ, stderr=self.log)
-        self.trial.spawn(self._watch(self.process))
+        self.trial.spawn(self._watch(self.process, run))
         while self.process.poll() is None:
             with contextlib.suppress(OSError, TimeoutError):
                 prober = await Prober().open("127.0.0.1", self.port)
@@ -71,7 +71,7 @@
         callers.serves, callers.told_at = True, None
         await callers.tell_again()
 
-    async def _watch(self, process):
+    async def _watch(self, process, run):
         """Its memory and descriptors against their limits, and its end."""
         judge, page_mb = self.trial.judge, os.sysconf("SC_PAGE_SIZE") / (1 << 20)
         while process.poll() is None:
@@ -84,7 +84,7 @@
                 if descriptors > self.trial.plan.sockets:
                     judge.broke(self.trial.now(), "descriptors", "", f"{self.name} holds {descriptors}")
             await asyncio.sleep(WATCH_S if self.trial.callers[self.number].told_at is None else 0.005)
-        judge.ended(self.trial.now(), self.number, process.returncode)
+        judge.ended(self.trial.now(), self.number, run, process.returncode)
 
     async def restart(self, in_series=False):
         """SIGTERM, SIGKILL at the earliest moment where it has not ended, and a new process."""
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -72,13 +72,13 @@
     judge.run(0, told_at=5.0)
     connection = set_up(judge, sent_at, 3.0)
     judge.run(0, killed_at=6.0)
-    judge.ended(6.0, 0, -9)
+    judge.ended(6.0, 0, 0, -9)
     judge.closed(6.0, connection, "proxy")
     assert rules_broken(judge) == broken
 
 
 def test_an_end_that_nobody_asked_for_is_a_crash(judge):
-    judge.ended(3.0, 0, 0)
+    judge.ended(3.0, 0, 0, 0)
     assert rules_broken(judge) == ["crash"]
 
 
