--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -69,7 +69,7 @@
     servers = tuple(_server(chance, number, number % pools) for number in range(chance.randint(pools, pools + 2)))
     proxies, seconds = chance.randint(3, 8), chance.uniform(10, 16)
     callers = CallersPlan(
-        rate=chance.uniform(6, 30) * (3 if chance.random() < 0.15 else 1),
+        rate=_rate(chance),
         connections=chance.randint(2, 8),
         answers_releases=chance.random() < 0.7,
         gives_up=chance.choice((0.0, 0.05, 0.2)),
@@ -82,6 +82,14 @@
     return Plan(seed, seconds, settings, chance.choice((128, 256)), proxies, servers, callers, faults)
 
 
+def _rate(chance):
+    """Set-ups a second at one proxy: some runs are thin, some have a crowd."""
+    kind = chance.random()
+    if kind < 0.25:
+        return chance.uniform(0.4, 2.0)
+    return chance.uniform(6, 30) * (3 if kind > 0.85 else 1)
+
+
 def _server(chance, number, pool):
     fast = chance.uniform(0.005, 0.05)
     return ServerPlan(
@@ -98,7 +106,7 @@
 
 def _settings(chance, proxies, pools):
     deadlines = [chance.choice((300, 400, 800, 1500, 3000, 5000)) for _ in range(chance.randint(1, 2))]
-    holds = [chance.choice((300.0, 1000.0, 3000.0)) for _ in deadlines]
+    holds = [chance.choice((300.0, 1000.0, 3000.0, 9000.0)) for _ in deadlines]
     return {
         "tickMs": 1.0,
         "nInstances": proxies,
@@ -142,7 +150,18 @@
     "moved",
     "moved thrice",
 )
-SERVER_FAULTS = ("drain", "drain", "replace", "vanish", "hang", "cut", "resets", "late connections", "releases all")
+SERVER_FAULTS = (
+    "drain",
+    "drain",
+    "replace",
+    "vanish",
+    "hang",
+    "cut",
+    "resets",
+    "late connections",
+    "releases all",
+    "closes",
+)
 LINK_FAULTS = ("link cut", "link reset", "link slow")
 CALLER_FAULTS = ("bad callers", "crowd", "callers close")
 
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -15,6 +15,7 @@
 PULSE_S = 0.01  # s between two looks at how late the stand-ins' own loop is
 TIDY_S = 0.2
 CROWD = 150
+SURGE = 6  # times as many set-ups come at a proxy that was told to end: callers that come again at once
 
 
 class Trial:
@@ -89,7 +90,8 @@
 
     async def _arrivals(self, callers, until):
         while self.now() < until:
-            await asyncio.sleep(self.chance.expovariate(self.plan.callers.rate))
+            surge = 1 if callers.told_at is None else SURGE
+            await asyncio.sleep(self.chance.expovariate(self.plan.callers.rate * surge))
             if callers.serves:
                 self.spawn(callers.call())
 
@@ -187,6 +189,13 @@
         self._trouble(fault, range(self.plan.proxies))
         self.servers[fault.server].cut()
 
+    async def _closes(self, fault):
+        """It closes its connections in order, as one that holds them for idle does, while set-ups cross."""
+        self._trouble(fault, range(self.plan.proxies))
+        for links in self.servers[fault.server].links.values():
+            for link in list(links):
+                link.writer.close()
+
     async def _resets(self, fault):
         self._trouble(fault, range(self.plan.proxies))
         self.servers[fault.server].resets_until = self.now() + fault.lasts
@@ -241,6 +250,7 @@
     "resets": Trial._resets,
     "late connections": Trial._late,
     "releases all": Trial._release_all,
+    "closes": Trial._closes,
     "link cut": Trial._link,
     "link reset": Trial._link,
     "link slow": Trial._link,
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -72,8 +72,7 @@
     def _came(self, proxy):
         async def serve(reader, writer):
             link = Link(self, proxy, reader, writer)
-            while (wait := max(self.late_until, self.hangs_until) - self.trial.now()) > 0:
-                await asyncio.sleep(wait)
+            await self._comes_up(proxy)
             self.links[proxy].add(link)
             writing = self.trial.spawn(link.write())
             try:
@@ -87,6 +86,14 @@
 
         return serve
 
+    async def _comes_up(self, proxy):
+        """Waits until this server may see a new connection of the proxy's."""
+        while True:
+            until = max(self.late_until, self.hangs_until, self.cut_until.get(proxy, 0))
+            if until <= self.trial.now():
+                return
+            await asyncio.sleep(until - self.trial.now())
+
     async def passes(self, proxy):
         """Waits as long as nothing passes between this server and the proxy."""
         while (wait := max(self.cut_until.get(proxy, 0), self.hangs_until) - self.trial.now()) > 0:
