--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 
 from thorndale.sip import framing, message
@@ -35,6 +36,15 @@
             if then is not None:
                 then()
 
+    def is_ended_by_peer(self):
+        """Whether its peer's end has come, also where this process has not read as far."""
+        sock = self.writer.get_extra_info("socket")
+        if not self.is_up or sock is None or sock.fileno() < 0:
+            return True
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLRDHUP | select.POLLHUP | select.POLLERR)
+        return bool(poll.poll(0))
+
     def reset(self):
         with contextlib.suppress(OSError, AttributeError):
             sock = self.writer.get_extra_info("socket")
@@ -204,10 +214,10 @@
             f"BYE sip:peer@net SIP/2.0\r\nCall-ID: {call}\r\nCSeq: 9 BYE\r\nReason: Q.850;cause=16\r\n"
             "Content-Length: 0\r\n\r\n"
         ).encode()
-        own = link.is_up
+        own = not link.is_ended_by_peer()
         if not own:
-            link = next(iter(self.links[link.proxy]), link)
-        if link.is_up:
+            link = next((other for other in self.links[link.proxy] if not other.is_ended_by_peer()), link)
+        if not link.is_ended_by_peer():
             self._send_release(call, link, "released", own and self.trial.now() > self.hangs_until, False)
         else:
             self._over(call, link.proxy, "released with no connection", False)
