Soak: a cold server is judged by what the one in its place took

The judge took lines over the time of a call for a server's capacity; the platform's is what its processor does, and the proxies pace by what the pool took while warm. It is the most that the replaced server took in any window now.

--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -89,7 +89,8 @@
         self.runs = [[] for _ in range(proxies)]
         self.connections, self.barred, self.troubled = [], {}, {}
         self.bad = self.checked = 0
-        self.cold, self.recent = {}, {}  # by server: Cold; times of its set-ups in the last window
+        self.cold = {}  # by server: Cold
+        self.recent, self.peak = {}, {}  # by server: times of its set-ups in the last window; the most in any
 
     def broke(self, at, rule, call, text):
         self.breaks.append(Break(at, rule, call, text))
@@ -228,8 +229,7 @@
             if now > held.left_at + allowed + SLACK_S + self.lag_s:
                 self.broke(now, "left", call, f"set-up at {server} {now - held.left_at:.2f} s after its caller left")
         held.attempts.append(attempt)
-        if server in self.cold:
-            self._bears(now, server, call)
+        self._bears(now, server, call)
         return attempt
 
     def attempt_ended(self, now, call, attempt, how):
@@ -237,14 +237,19 @@
             attempt.ended_at = now
             self.calls[call].note(now, f"its set-up at {attempt.server} ended: {how}")
 
-    def started_cold(self, now, server, capacity):
-        self.cold[server], self.recent[server] = Cold(now, capacity), deque()
+    def started_cold(self, now, server, instead_of):
+        """It can take, once warm, what the one in whose place it stands has taken at its busiest."""
+        window_s = self.rules["fallMs"] / 1000
+        self.cold[server] = Cold(now, max(1, self.peak.get(instead_of, 0)) / window_s)
 
     def _bears(self, now, server, call):
-        recent, window_s = self.recent[server], self.rules["fallMs"] / 1000
+        recent, window_s = self.recent.setdefault(server, deque()), self.rules["fallMs"] / 1000
         recent.append(now)
         while recent[0] < now - window_s:
             recent.popleft()
+        self.peak[server] = max(self.peak.get(server, 0), len(recent))
+        if server not in self.cold:
+            return
         most = most_of_a_cold_server(self.rules, self.cold[server], now)
         if len(recent) > most:
             self.broke(
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -165,7 +165,7 @@
         plan = ServerPlan(f"s-000000{self.serial:02x}", *old.plan[1:])
         new = await Server(self, plan, old.hold_s).start(self.plan.proxies)
         self.servers.append(new)
-        self.judge.started_cold(self.now(), new.name, plan.lines / new.hold_s)
+        self.judge.started_cold(self.now(), new.name, old.name)
         self._tell(new, 0, int(time.time() * 1000))
         await asyncio.sleep(fault.lasts + 2)
         self._tell(old, 2)
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -129,13 +129,19 @@
 
 
 def test_more_than_a_cold_server_bears_is_found(judge):
-    judge.started_cold(1.0, SERVER, 20.0)
-    for number in range(40):
-        call = f"{number:08x}"
+    """The one before took 30 in 1.5 s at its busiest: 2 x 30 x 0.28, and 3 x root of that and 3, are 32.1."""
+    for number in range(30):
+        call = f"a{number:07x}"
         set_up(judge, 1.0 + number / 100, call=call)
-        judge.attempt_ended(1.5, call, judge.attempt(1.0 + number / 100, SERVER, 0, call), "refused")
+        judge.attempt_ended(1.5, call, judge.attempt(1.0 + number / 100, "s-0000000b", 0, call), "refused")
         judge.released(1.6, call, 41)
-        if number == 28:
+    judge.started_cold(3.0, SERVER, "s-0000000b")
+    for number in range(40):
+        call = f"{number:08x}"
+        set_up(judge, 3.0 + number / 1000, call=call)
+        judge.attempt_ended(3.5, call, judge.attempt(3.0 + number / 1000, SERVER, 0, call), "refused")
+        judge.released(3.6, call, 41)
+        if number == 31:
             assert not judge.breaks
     assert set(rules_broken(judge)) == {"failback"}
 
