A call told of after its server was proved dead is released at once

Cause: what had been proved of a server was not kept for calls told of afterwards. They stood before this process began, so that a proof since then is of them too. A server that could merely not be reached proves nothing. Test: fails before, passes after; tests/platform 182 green.

--- a/tests/platform/test_platform_border.py
+++ b/tests/platform/test_platform_border.py
@@ -370,6 +370,21 @@
     assert list(rig.core.early) == [(78).to_bytes(8, "big")]
 
 
+# Guards against a call held for standing though its server had died before its caller told of it.
+def test_a_call_told_of_after_its_server_was_proved_dead_is_released_at_once():
+    rig = Rig()
+    rig.up()
+    key = next(k for k, link in rig.core.links.items() if link.central.name == "s-0000000a")
+    rig.do("server_lost", key, "lost")
+    rig.later(150 * MS)
+    for key, link in list(rig.core.links.items()):
+        if not link.opened:
+            rig.do("server_lost", key, "refused")
+    call = (77).to_bytes(8, "big")
+    rig.setup(call=call, figures=b"dest:0;width:1;at:s-0000000a")
+    assert rig.got["c"] == [(isup.RELEASE, call, {isup.CAUSE: b"\x29"})] and not rig.core.standing()
+
+
 def test_a_server_that_moved_is_asked_after_its_calls_at_the_new_address_alone():
     rig = Rig()
     rig.up()
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -238,8 +238,8 @@
         self._note("taken up")
         central = self.centrals.get(setup.at)
         name, cause = self.early.get(call, ("", outcomes.CUT))
-        if central is None or name == setup.at:
-            why = "its server is not known" if central is None else "its server has released it"
+        if central is None or name == setup.at or central.was_cut:
+            why = "its server is not known" if central is None else "its server has ended it"
             fields = {"connection": connection.key, "server": setup.at, "why": why}
             self.send.log("call", call=call.hex(), did="not taken up", **fields)
             self.releases.owe(now, call, cause if name else outcomes.CUT, connection)
@@ -505,8 +505,9 @@
             self.done.append(call)
         self._forget(central)
 
-    def _cut(self, now, central, why):
-        """All calls that stand at a server are over: it was proved dead."""
+    def _cut(self, now, central, why, proved=True):
+        """All calls that stand at a server are over: it was proved dead, or could not be reached for too long."""
+        central.was_cut |= proved
         if central.standing:
             self.send.log("calls cut", server=central.name, calls=len(central.standing), why=why)
         for call in list(central.standing.values()):
@@ -640,7 +641,7 @@
                     central.count("silent connections")
                     self._drop(now, link)
             if central.is_dark(now):
-                self._cut(now, central, "cannot be reached")
+                self._cut(now, central, "cannot be reached", proved=False)
             if not central.links and central.state != io.GONE and now >= central.again_at:
                 self._open(now, central)
 
--- a/thorndale/platform/links.py
+++ b/thorndale/platform/links.py
@@ -41,10 +41,12 @@
 class Central:
     """A central server as this proxy knows it. `standing` is {call id: Call}; `passed` counts what went by the
     sockets, to be held against what the module believes. `waiting`: what concerns calls that stood and goes by the
-    next connection that is up."""
+    next connection that is up. `was_cut`: it was proved dead since this process has known it, so that a call which is
+    told of as standing there, and so stood before, is over."""
 
     __slots__ = (
         "waiting",
+        "was_cut",
         "index",
         "name",
         "host",
@@ -67,7 +69,7 @@
         self.host, self.port, self.pool, self.state, self.started = "", 0, -1, -1, 0
         self.links, self.standing, self.dark_since = [], {}, 0
         self.again_at, self.fails, self.broke_at = 0, 0, -1
-        self.passed, self.lags, self.waiting = {}, [], []
+        self.passed, self.lags, self.waiting, self.was_cut = {}, [], [], False
 
     def count(self, what):
         self.passed[what] = self.passed.get(what, 0) + 1
