--- a/tests/config/test_load.py
+++ b/tests/config/test_load.py
@@ -8,12 +8,12 @@
 import time
 
 import pytest
-from net.test_net import port
 
 from thorndale.call.door import decider, module_settings, site_settings
 from thorndale.config.load import ConfigError, load, parse
 from thorndale.policy import Proxy
 from thorndale.sites.router import Sites
+from thorndale.standins.ports import reserve_port
 
 GOOD = open("examples/proxy.json5", encoding="utf-8").read()
 
@@ -145,7 +145,7 @@
 
 
 def test_a_port_in_use_and_a_clean_end(tmp_path):
-    number = port()
+    number = reserve_port()
     path, log = tmp_path / "p.json5", tmp_path / "p.log"
     (tmp_path / "proxy.rules").write_text(open("examples/proxy.rules").read())
     path.write_text(GOOD.replace("5060", str(number)).replace('name: "proxy1",', f'name: "p", log: {{file: "{log}"}},'))
