Stand-ins: each connection is a task of its peer, ended with it

A rig that ended left one "Exception in callback StreamReaderProtocol.connection_made" for each open connection in the report of any failing test: asyncio 3.11 asks a cancelled connection task for its exception. The stand-in now keeps these tasks with its others and ends them in stop().

--- a/thorndale/standins/platform.py
+++ b/thorndale/standins/platform.py
@@ -29,7 +29,10 @@
         self.host, self.port = host, self.server.sockets[0].getsockname()[1]
         return self
 
-    async def _came(self, reader, writer):
+    def _came(self, reader, writer):
+        self._keep(self._serve_one(reader, writer))
+
+    async def _serve_one(self, reader, writer):
         self.open.add(writer)
         try:
             await self.serve(reader, writer)
