--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -8,6 +8,7 @@
 alone, works out the difference between the wanted and the present state and returns it as actions. Why
 each part is as it is: docs/design.md.
 """
+
 from collections import deque
 from heapq import heappop, heappush
 from math import exp, log, sqrt
@@ -64,28 +65,68 @@
 
 # Figures about servers, each a list under the server's index, with what it begins with.
 FIGURES = dict(
-    state=io.SERVING, pool=-1, started=0, free=None, rate=0.0,  # as told
-    skip_until=0, empty_until=0, slot=0,  # us; number of the window's last slot
-    wait=0, wait_at=0, told=None,  # wait last seen, when what met it was sent; last report
-    lag=0, least=1 << 60,  # last lag of an answer, least
-    silent=0, sent_at=0,  # seizures sent since the last answer, when the last one was
-    score=0.0, word=0.0, loss=0.0,  # log odds that it failed, by own loss, by others' word; share lost alone
+    state=io.SERVING,
+    pool=-1,
+    started=0,
+    free=None,
+    rate=0.0,  # as told
+    skip_until=0,
+    empty_until=0,
+    slot=0,  # us; number of the window's last slot
+    wait=0,
+    wait_at=0,
+    told=None,  # wait last seen, when what met it was sent; last report
+    lag=0,
+    least=1 << 60,  # last lag of an answer, least
+    silent=0,
+    sent_at=0,  # seizures sent since the last answer, when the last one was
+    score=0.0,
+    word=0.0,
+    loss=0.0,  # log odds that it failed, by own loss, by others' word; share lost alone
     faults=FAULT_ODDS,  # share of set-ups answered with an error, and never below what callers may cause
     cut_at=-SLOT_US,  # when a call that stood was last cut alone
-    credit=0.0, credit_at=0,  # set-ups that may go while it is cold, since when
-    used=0, used_at=0,  # lines in use as last told, when
-    demand=0.0, part=1.0,  # set-ups a us that all proxies want; part of them that lines allow
-    open=1.0, open_at=0,  # part that the processor has been found to take, as of when
-    turn=None, share=1.0,  # calls owed in its pool; its part of the pool's calls, of an equal one
-    least_told=None, looked_at=0,  # us of wait told at its least; when last looked at for its share
+    credit=0.0,
+    credit_at=0,  # set-ups that may go while it is cold, since when
+    used=0,
+    used_at=0,  # lines in use as last told, when
+    demand=0.0,
+    part=1.0,  # set-ups a us that all proxies want; part of them that lines allow
+    open=1.0,
+    open_at=0,  # part that the processor has been found to take, as of when
+    turn=None,
+    share=1.0,  # calls owed in its pool; its part of the pool's calls, of an equal one
+    least_told=None,
+    looked_at=0,  # us of wait told at its least; when last looked at for its share
 )
 
 
 class Held:
     """A call that this proxy owes an answer."""
-    __slots__ = ("call", "kind", "client", "pool", "key", "redial", "first", "revenue", "came", "last",
-                 "sent", "out", "server", "failed_at", "lack", "resume", "release", "right", "stood",
-                 "onward", "want", "arg")
+
+    __slots__ = (
+        "call",
+        "kind",
+        "client",
+        "pool",
+        "key",
+        "redial",
+        "first",
+        "revenue",
+        "came",
+        "last",
+        "sent",
+        "out",
+        "server",
+        "failed_at",
+        "lack",
+        "resume",
+        "release",
+        "right",
+        "stood",
+        "onward",
+        "want",
+        "arg",
+    )
 
     def __init__(self, event, now):
         self.call, self.kind, self.client, self.pool = event.call, event.call_type, event.client, event.pool
@@ -117,9 +158,18 @@
         targets = settings["type_target_us"] + ([settings["resend_us"]] if settings["resend_us"] else [])
         self.limit = min(targets, default=SLOT_US)  # us, the span that all times of waiting go by
         self.trial = int(TRIAL_PART * self.limit)
-        self.on = {io.Servers: self._servers, io.Call: self._call, io.Stood: self._stood, io.Left: self._left,
-                   io.Ended: self._ended, io.Seen: self._seen, io.ListFailed: self._list_failed,
-                   io.Right: self._right, io.Word: self._word, io.Onward: self._onward}
+        self.on = {
+            io.Servers: self._servers,
+            io.Call: self._call,
+            io.Stood: self._stood,
+            io.Left: self._left,
+            io.Ended: self._ended,
+            io.Seen: self._seen,
+            io.ListFailed: self._list_failed,
+            io.Right: self._right,
+            io.Word: self._word,
+            io.Onward: self._onward,
+        }
 
     def handle(self, now, events):
         self.now = now
