Log: a refused call's line gives the decision module's reason

Reject and Fail carry a Reason (a named word, nothing is decided on it); the border proxy writes it as `why` in the call's `refused` line.

--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -138,6 +138,21 @@
     play(test, tmp_path)
 
 
+def test_a_refusal_is_in_the_log_with_the_modules_reason(tmp_path):
+    async def test(p):
+        for number, server in enumerate(p.servers):
+            p.feed.add(2, (0xA + number, server.host, server.port, 1, number, 0))
+        caller = await p.caller()
+        await until(lambda: (tmp_path / "log").read_text().count("draining by the list") == len(p.servers))
+        call = caller.setup(call_id(1))
+        await until(lambda: over(caller, call))
+        lines = [json.loads(line) for line in (tmp_path / "log").read_text().splitlines()]
+        (refused,) = [line for line in lines if line.get("call") == call.hex() and line["did"] == "refused"]
+        assert refused["why"] == "no server has room for it"
+
+    play(test, tmp_path)
+
+
 def test_it_is_one_thread_and_starts_no_process(tmp_path):
     async def test(p):
         for s in p.servers:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -53,6 +53,45 @@
     assert kinds(refused) == [io.Reject] and 0 < refused[0].comeback_us <= 2 * S
 
 
+def final(actions):
+    """The one final answer among the actions, by its reason."""
+    (answer,) = [a for a in actions if type(a) in (io.Reject, io.Fail)]
+    return answer.reason
+
+
+def test_a_call_given_back_unsent_says_why():
+    assert final(Bench(0).call()) == io.Reason.NO_ROOM
+    assert final(Bench(open_max=1).call()) == io.Reason.TOO_MANY_OPEN
+    bench = Bench(1)
+    bench.proxy.turned_until = bench.now + S
+    assert final(bench.call(redial=True)) == io.Reason.LATE_REDIAL
+
+
+def test_a_call_given_back_after_an_attempt_says_why():
+    assert final(fails_with(Bench(), io.BUSY)) == io.Reason.SERVER_REFUSED
+    assert final(fails_with(Bench(seizures_max=1), io.FULL)) == io.Reason.MOST_ATTEMPTS
+    bench = Bench()
+    bench.proxy.retries[1][bench.proxy._roll(1)] = RETRY_FLOOR
+    assert final(fails_with(bench, io.FULL)) == io.Reason.BUDGET_SPENT
+    bench = Bench()
+    bench.call(left=600 * MS)
+    bench.later(200 * MS)
+    assert final(bench.ended(bench.next, 0, io.RESET)) == io.Reason.RETRY_TOO_LATE
+    bench = Bench()
+    bench.call(left=600 * MS)
+    assert final(bench.later(S)) == io.Reason.TIME_IS_UP
+
+
+def test_a_call_given_back_while_its_retry_waits_says_why():
+    bench = Bench()
+    assert fails_with(bench, io.TIMED_OUT) == []
+    bench.tell(io.Server(1, 1, io.DRAINING, 0))
+    assert final(bench.later(S)) == io.Reason.RETRY_BARRED
+    bench = Bench(fleet_rights=True)
+    assert kinds(fails_with(bench, io.TIMED_OUT)) == [io.Ask]
+    assert final(bench.give(io.Right(bench.next, 0))) == io.Reason.NO_RIGHT
+
+
 def test_full_server_is_skipped_and_all_skipped_means_first_choice():
     bench = Bench()
     bench.proxy.skip_until = [bench.now + SKIP_US, 0]
--- a/thorndale/interface.py
+++ b/thorndale/interface.py
@@ -4,6 +4,7 @@
 clients are small indices given out by whoever hosts the module. `None` stands for 'not told'.
 """
 
+from enum import StrEnum
 from typing import NamedTuple
 
 # States of a server in the list.
@@ -154,17 +155,38 @@
     seizure: int
 
 
+class Reason(StrEnum):
+    """Why a call is given back: for logs, nothing is decided on it."""
+
+    UNSAID = ""
+    TOO_MANY_OPEN = "as many calls are open as may be"
+    LATE_REDIAL = "redials are refused while first set-ups find no room"
+    NO_ROOM = "no server has room for it"
+    NO_OTHER_ROOM = "no server has room for another attempt"
+    MOST_ATTEMPTS = "it had all its attempts"
+    BUDGET_SPENT = "the retry budget of the next server is spent"
+    RETRY_TOO_LATE = "another attempt would come too late"
+    RETRY_BARRED = "the server of its retry has failed or left"
+    NO_RIGHT = "the fleet gave no right to the retry in time"
+    FULL_BEYOND = "there is no room beyond the server"
+    SERVER_REFUSED = "the server's refusal is final"
+    TIME_IS_UP = "its time is up"
+    NO_SITE = "no site takes it"
+
+
 class Reject(NamedTuple):
     """Final answer: turned away, to come back after comeback_us (0: nothing said)."""
 
     call: int
     comeback_us: int
+    reason: Reason = Reason.UNSAID
 
 
 class Fail(NamedTuple):
     """Final answer: given up."""
 
     call: int
+    reason: Reason = Reason.UNSAID
 
 
 class SetTimer(NamedTuple):
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -590,17 +590,17 @@
             if call.seizure is not None and call.seizure.number == action.seizure:
                 self._cancel(now, call.seizure, io.CANCELLED, True)
         elif kind is io.Reject:
-            self._answer(call, outcomes.REJECTED, action.comeback_us)
+            self._answer(call, outcomes.REJECTED, action.reason, action.comeback_us)
             self._note("rejected")
         elif kind is io.Fail:
-            self._answer(call, outcomes.ENGAGED if call.last == io.BUSY else outcomes.FAILED, 0)
+            self._answer(call, outcomes.ENGAGED if call.last == io.BUSY else outcomes.FAILED, action.reason)
             self._note("failed")
 
-    def _answer(self, call, cause, comeback_us):
+    def _answer(self, call, cause, why, comeback_us=0):
         key = call.connection.key
         self._close(call)
         taken = self.send.to_caller(key, isup.release(call.id, cause, comeback_us))
-        self._trace(call, "refused", connection=key, cause=cause, taken=taken, attempts=call.sent)
+        self._trace(call, "refused", connection=key, cause=cause, why=why, taken=taken, attempts=call.sent)
         self.done.append(call)
 
     def _seize(self, now, call, action):
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -126,6 +126,7 @@
         "onward",
         "want",
         "arg",
+        "reason",
     )
 
     def __init__(self, event, now):
@@ -137,7 +138,13 @@
         self.resume = self.release = self.right = 0  # right: until when a retry may go, or ASK, ASKED
         self.revenue, self.stood, self.lack = 0.0, False, True  # lack: it is given back for want of room
         self.onward = False  # the seizure that is out has been carried on by its server
-        self.want, self.arg = "new", 0
+        self.want, self.arg, self.reason = "new", 0, io.Reason.UNSAID
+
+    def reject(self, reason):
+        self.want, self.reason = "reject", reason
+
+    def fail(self, reason):
+        self.want, self.reason = "fail", reason
 
 
 class Proxy:
@@ -324,7 +331,7 @@
         held = Held(event, self.now)
         kind, settings = event.call_type, self.settings
         if len(self.calls) + 1 >= settings["open_max"]:
-            held.want = "reject"
+            held.reject(io.Reason.TOO_MANY_OPEN)
         revenue = settings["type_revenue"][kind]
         while self.given_up_at and self.given_up_at[0][0] <= self.now:
             self.given_up.pop(self.given_up_at.popleft()[1], None)
@@ -425,9 +432,11 @@
         held.lack = outcome in (io.FULL, io.EMPTY)
         if outcome in (io.TIMED_OUT, io.RESET, io.CANCELLED):
             held.release = self.now + self.settings["release_us"]
-        held.want = "fail" if outcome in (io.COMPLETED, io.BUSY) else "again"
+        held.want = "again"
+        if outcome in (io.COMPLETED, io.BUSY):
+            held.fail(io.Reason.SERVER_REFUSED)
         if beyond and event.outcome in (io.FULL, io.EMPTY):  # harmless to try again, but not from here
-            held.want = "reject"
+            held.reject(io.Reason.FULL_BEYOND)
         self.touched.append(held)
 
     def _word(self, event):
@@ -614,16 +623,16 @@
         if held.stood:
             held.want = "keep"
         elif self.now >= held.last:
-            held.want = "fail"
+            held.fail(io.Reason.TIME_IS_UP)
         elif held.out >= 0:
             held.want = "keep"
         elif held.want == "new":
             late = not held.first and self.now < self.turned_until
             s = -1 if late else self._route(held)
             if late:
-                held.want = "reject"
+                held.reject(io.Reason.LATE_REDIAL)
             elif s < 0:
-                self._turn_away(held)
+                self._turn_away(held, io.Reason.NO_ROOM)
             else:
                 if not held.redial:
                     self.firsts[s][self._roll(s)] += 1
@@ -631,28 +640,38 @@
                 self._reserve(held, s)
         elif held.want == "again":
             s = self._route(held, held.failed_at)
-            most = min(SEIZURES, self.settings["seizures_max"])
-            if held.sent >= most or s < 0 or not self._grant(s):
-                self._turn_away(held)
+            reason = self._no_retry(held, s)
+            if reason:
+                self._turn_away(held, reason)
                 return
             most = min(WAIT_MOST_US, WAIT_BASE_US << held.sent - 1)
             resume = max(self.now + int(self._chance() * most), held.release)
             if resume >= held.last:
-                held.want = "reject"
+                held.reject(io.Reason.RETRY_TOO_LATE)
             else:
                 held.want, held.arg, held.resume = "wait", s, resume
                 held.right = ASK if self.settings["fleet_rights"] else held.last
                 self._alarm(resume, held)
         elif held.want == "wait" and self.now >= held.resume and held.right >= 0:
             s = held.arg
-            if self.now > held.right or self.state[s] != io.SERVING or not self._has_room(s):
-                held.want = "reject"
+            if self.now > held.right:
+                held.reject(io.Reason.NO_RIGHT)
+            elif self.state[s] != io.SERVING or not self._has_room(s):
+                held.reject(io.Reason.RETRY_BARRED)
             else:
                 held.want = "seize"
                 self._reserve(held, s)
 
-    def _turn_away(self, held):
-        held.want = "reject"
+    def _no_retry(self, held, s):
+        """Why a failed call gets no other attempt at server s; where it gets one, the retry is counted."""
+        if held.sent >= min(SEIZURES, self.settings["seizures_max"]):
+            return io.Reason.MOST_ATTEMPTS
+        if s < 0:
+            return io.Reason.NO_OTHER_ROOM
+        return io.Reason.UNSAID if self._grant(s) else io.Reason.BUDGET_SPENT
+
+    def _turn_away(self, held, reason):
+        held.reject(reason)
         if held.lack and held.first and held.revenue >= self.settings["type_revenue"][held.kind]:
             self.turned_until = self.now + int(TURNED_PART * self.limit)
 
@@ -684,8 +703,10 @@
             elif held.want in ("reject", "fail"):
                 if held.out >= 0 and self.settings["may_cancel"]:
                     actions.append(io.Cancel(held.call, held.out))
-                fail = held.want == "fail"
-                actions.append(io.Fail(held.call) if fail else io.Reject(held.call, self._comeback()))
+                if held.want == "fail":
+                    actions.append(io.Fail(held.call, held.reason))
+                else:
+                    actions.append(io.Reject(held.call, self._comeback(), held.reason))
                 del self.calls[held.call]
                 self._remember(held)
         self.touched, self.notes, self.list_wanted = [], [], False
--- a/thorndale/sites/router.py
+++ b/thorndale/sites/router.py
@@ -192,7 +192,7 @@
     def _turn_away(self, offered):
         del self.calls[offered.event.call]
         comeback = self.settings["comeback_max_us"] if self.settings["comeback_told"] else 0
-        return io.Reject(offered.event.call, int(comeback * (1 + self._chance()) / 2))
+        return io.Reject(offered.event.call, int(comeback * (1 + self._chance()) / 2), io.Reason.NO_SITE)
 
     def _offer(self, now, events):
         """Hands the events to the module; what it turns away unsent goes to the next site in the same moment."""
