Control feed: an empty frame that names an event not had is a gap, and is asked for

Cause: the drain fell into a silence of the feed, after the proxy had asked anew and before the feed spoke again, and the feed left it out on the open connection. The empty frames that followed each second named event 2 while the proxy had 1; their number was not looked at, so the event was missed until the next one came, 4 s later.

Change: such a frame breaks the connection and the event is asked for, as any gap; within 0.5 s of asking it is passed over, since the events may follow it.

--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -329,6 +329,36 @@
     play(test, tmp_path, sockets=64)
 
 
+# Guards against set-ups at a draining server whose drain fell into a silence of the control feed.
+def test_a_drain_left_out_by_a_silent_feed_is_asked_for_once_it_speaks_again(tmp_path):
+    async def test(p):
+        await until(lambda: p.feed.asked)
+        p.feed.mute = True
+        a = p.servers[0]
+        p.feed.add(2, (0xA, a.host, a.port, 1, 0, 0))
+        p.feed.mute = False
+        await until(lambda: "draining by the list" in (tmp_path / "log").read_text(), 2)
+        await others_are_served(p)
+        assert not a.seen and p.feed.asked == [1, 1]
+
+    play(test, tmp_path)
+
+
+# Guards against breaking off a feed that says how far it is before it tells what is missing.
+def test_a_feed_that_begins_with_its_latest_number_is_listened_to(tmp_path):
+    async def test(p):
+        p.feed.begins_empty = True
+        a = p.servers[0]
+        p.feed.mute = True
+        p.feed.add(2, (0xA, a.host, a.port, 1, 0, 0))
+        p.feed.mute = False
+        p.feed.cut()
+        await until(lambda: "draining by the list" in (tmp_path / "log").read_text(), 2)
+        assert len(p.feed.asked) == 2
+
+    play(test, tmp_path)
+
+
 def test_a_feed_that_tells_nothing_of_use_is_not_asked_without_a_pause(tmp_path):
     async def test(p):
         p.feed.frames.extend([b"", p.feed.frames[0]])  # the third event, never the second
--- a/tests/platform/test_feed.py
+++ b/tests/platform/test_feed.py
@@ -65,6 +65,16 @@
     assert known.take(feed.Event(9, True, ()))  # a whole list leaves nothing out
 
 
+# Guards against an event that never came going unnoticed until the next one.
+def test_an_empty_frame_that_names_an_event_not_had_is_a_gap():
+    known = feed.Feed(3)
+    known.take_empty(3)
+    known.take_empty(2)
+    with pytest.raises(PlatformError, match="event 4"):
+        known.take_empty(4)
+    assert known.count["gaps"] == 1 and known.ask() == (3).to_bytes(8, "big")
+
+
 def test_the_list_that_events_leave():
     gone = feed.Event(2, False, (feed.Entry("s-0000000a", "127.0.1.1", 5080, io.GONE, 0, 0),))
     assert list(feed.fold([events(frame(1, 1, WHOLE))[0], gone])) == ["s-0000000b"]
--- a/thorndale/node/follow.py
+++ b/thorndale/node/follow.py
@@ -7,6 +7,9 @@
 SILENT_S = 1.7  # s without a frame after which it counts as broken: an empty one comes each second
 AGAIN_S = 0.05  # s from a break to the next try, doubled to the most
 AGAIN_MOST_S = 0.5
+SETTLED_S = (
+    0.5  # s after it was asked from which an empty frame counts that names an event not had: it may follow still
+)
 
 
 class Follower:
@@ -24,7 +27,7 @@
             Stream(feed.Framer, (PlatformError,), 4096, "unreached", "spoilt"),
             on_open=self._opened,
         )
-        self.hop, self.wait, self.again, self.silence = None, AGAIN_S, None, None
+        self.hop, self.wait, self.again, self.silence, self.asked_at = None, AGAIN_S, None, None, 0.0
         self._connect()
 
     def _connect(self):
@@ -34,6 +37,7 @@
     def _opened(self, hop):
         if hop == self.hop:
             self.tcp.send(hop, self.feed.ask())
+            self.asked_at = self.loop.time()
             self._heard()
 
     def _heard(self):
@@ -50,13 +54,19 @@
             return
         self._heard()
         try:
-            event = feed.read(*frame)
-            if event is not None and self.feed.take(event):
-                self.on_event(event)
+            self._take(frame)
             self.wait = AGAIN_S
         except PlatformError as fault:
             self._break(str(fault), self._next_wait())
 
+    def _take(self, frame):
+        event = feed.read(*frame)
+        if event is not None:
+            if self.feed.take(event):
+                self.on_event(event)
+        elif self.loop.time() >= self.asked_at + SETTLED_S:
+            self.feed.take_empty(frame[0])
+
     def _next_wait(self):
         """The wait before a further try, doubled until a frame is of use."""
         wait, self.wait = self.wait, min(AGAIN_MOST_S, self.wait * 2)
--- a/thorndale/platform/feed.py
+++ b/thorndale/platform/feed.py
@@ -113,7 +113,7 @@
 
 
 class Feed:
-    """Which events of the control feed are new. `last` is the number asked from when it is asked again."""
+    """Which events of the control feed are new, and whether one is missing. `last` is the number asked from anew."""
 
     def __init__(self, last):
         self.last = last
@@ -131,6 +131,12 @@
         self.count["events"] += 1
         return True
 
+    def take_empty(self, number):
+        """Raises PlatformError where an empty frame names an event that never came: it is asked for again."""
+        if number > self.last:
+            self.count["gaps"] += 1
+            raise PlatformError(f"event {number} is out, {self.last} is the last that came", "feed")
+
     def ask(self):
         """The bytes that ask for every later event."""
         return self.last.to_bytes(8, "big")
--- a/thorndale/standins/platform.py
+++ b/thorndale/standins/platform.py
@@ -170,11 +170,12 @@
 
 
 class ControlFeed(Peer):
-    """Holds the events from the first on. `asked` are the numbers asked from."""
+    """Holds the events from the first on. `asked` are the numbers asked from. `mute`: what happens meanwhile is left
+    out on the connections that are open; `begins_empty`: an empty frame comes before the events asked for."""
 
     def __init__(self):
         super().__init__()
-        self.frames, self.asked, self.mute = [], [], False
+        self.frames, self.asked, self.mute, self.begins_empty = [], [], False, False
 
     def add(self, kind, *records):
         """An event with records of (id, host, port, state, pool, started in ms)."""
@@ -192,13 +193,19 @@
     async def serve(self, reader, writer):
         number = int.from_bytes(await reader.readexactly(8), "big")
         self.asked.append(number)
+        if self.begins_empty:
+            writer.write(self._empty())
+            await asyncio.sleep(0.05)
         writer.write(b"".join(self.frames[number:]))
         while True:
             await asyncio.sleep(1)
             if not self.mute:
-                writer.write(struct.pack(">IQB", 9, len(self.frames), 0))
+                writer.write(self._empty())
                 await writer.drain()
 
+    def _empty(self):
+        return struct.pack(">IQB", 9, len(self.frames), 0)
+
 
 class Callers:
     """One connection from callers. `got` is {call: [(kind, values)]}, in order; `closed` once the other side closed,
