Soak: drains that meet a silence, a return or a move of the feed, ends that meet an answer or a set-up

Each plan now draws up to three crossings after its other faults (which stay as they were): a drain within 0.4 s of the feed's silence, return or move; servers that end a connection with an answer's last byte or inside it; callers that close, reset or take back with a set-up's last byte.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -12,6 +12,7 @@
 NEW_AFTER_TERM_S = 0.3  # s after SIGTERM in which new connections go on coming: 0.2 to 0.4 s
 PER_CONNECTION = 4  # set-ups open on a connection before another one is opened
 BAD_WAIT_S = 4.0
+ENDING = 8  # callers that end as they send, at one time
 
 
 class Line:
@@ -218,6 +219,30 @@
         for line in self.lines[: max(1, len(self.lines) // 2)]:
             self.close(line, self.trial.chance.random() < 0.5)
 
+    async def end_as_they_send(self):
+        """Callers that close, or take back, with the last byte of a set-up, and some inside it."""
+        for _ in range(ENDING):
+            with contextlib.suppress(OSError):
+                self._end_as_it_sends(await self.connect())
+
+    def _end_as_it_sends(self, line):
+        chance, call = self.trial.chance, self._id()
+        kind = chance.randrange(len(self.trial.plan.settings["classes"]))
+        within_ms = int(self.trial.plan.settings["classes"][kind]["giveUpMs"])
+        data = self._message(call, kind, within_ms, False)
+        how = chance.choice(("closes", "resets", "takes back", "inside"))
+        if how == "inside":
+            line.writer.write(data[: chance.randrange(1, len(data))])
+            self.close(line)
+            return
+        self.trial.judge.set_up(self.trial.now(), call.hex(), line.seen, within_ms / 1000)
+        if how == "takes back":
+            line.writer.write(data + isup.release(call, 16))
+            self.trial.judge.left(self.trial.now(), call.hex())
+        else:
+            line.writer.write(data)
+            self.close(line, how == "resets")
+
     async def bad(self):
         """Callers of no use, each of which is owed an answer or a close."""
         whole = self._message(self._id(), 0, 300, False)
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -164,6 +164,13 @@
 )
 LINK_FAULTS = ("link cut", "link reset", "link slow")
 CALLER_FAULTS = ("bad callers", "crowd", "callers close")
+CROSSINGS = (
+    "drain in a silence",
+    "drain as the feed returns",
+    "drain among moves",
+    "ends after answers",
+    "callers end as they send",
+)  # two things that meet within some tenths of a second
 
 
 def _faults(chance, seconds, proxies, servers):
@@ -188,4 +195,7 @@
         found.append(Fault(at(), what, chance.uniform(0.2, 2.5), chance.randrange(proxies), chance.randrange(servers)))
     for _ in range(chance.randint(1, 4)):
         found.append(Fault(at(), chance.choice(CALLER_FAULTS), 0, chance.randrange(proxies)))
+    for _ in range(chance.randint(0, 3)):
+        what, lasts = chance.choice(CROSSINGS), chance.uniform(0.5, 3.0)
+        found.append(Fault(at(), what, lasts, chance.randrange(proxies), chance.randrange(servers)))
     return tuple(sorted(found))
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -15,6 +15,7 @@
 PULSE_S = 0.01  # s between two looks at how late the stand-ins' own loop is
 TIDY_S = 0.2
 CROWD = 150
+NEAR_S = 0.4  # s within which two things count as meeting
 SURGE = 6  # times as many set-ups come at a proxy that was told to end: callers that come again at once
 
 
@@ -157,6 +158,22 @@
         if not server.is_dead:
             self._tell(server, 0)
 
+    async def _drain_near(self, moment, fault):
+        """A drain within some tenths of a second of that moment, s from now."""
+        await asyncio.sleep(max(0, moment + self.chance.uniform(-NEAR_S, NEAR_S)))
+        await self._drain(fault._replace(lasts=1.0))
+
+    async def _drain_in_silence(self, fault):
+        silence = self._feed_silent(fault)
+        await asyncio.gather(silence, self._drain_near(self.chance.uniform(0, fault.lasts), fault))
+
+    async def _drain_at_return(self, fault):
+        await asyncio.gather(self._feed_down(fault), self._drain_near(fault.lasts, fault))
+
+    async def _drain_among_moves(self, fault):
+        moves = self._move(fault._replace(what="moved thrice"))
+        await asyncio.gather(moves, self._drain_near(NEAR_S, fault))
+
     async def _replace(self, fault):
         """Drained, gone, and a new server in its place that starts cold."""
         old = self.servers[fault.server]
@@ -205,6 +222,11 @@
         self.servers[fault.server].late_until = self.now() + min(fault.lasts, 1.0)
         self.servers[fault.server].cut()
 
+    async def _ends_after_answers(self, fault):
+        """For a while it ends a connection with each answer, or inside it."""
+        self._trouble(fault, range(self.plan.proxies))
+        self.servers[fault.server].ends_until = self.now() + fault.lasts
+
     async def _release_all(self, fault):
         for call in list(self.servers[fault.server].standing):
             self.servers[fault.server].release(call)
@@ -227,6 +249,9 @@
     async def _bad(self, fault):
         await self.callers[fault.proxy].bad()
 
+    async def _end_as_they_send(self, fault):
+        await self.callers[fault.proxy].end_as_they_send()
+
     async def _crowd(self, fault):
         await self.callers[fault.proxy].crowd(CROWD)
 
@@ -257,4 +282,9 @@
     "bad callers": Trial._bad,
     "crowd": Trial._crowd,
     "callers close": Trial._close_callers,
+    "drain in a silence": Trial._drain_in_silence,
+    "drain as the feed returns": Trial._drain_at_return,
+    "drain among moves": Trial._drain_among_moves,
+    "ends after answers": Trial._ends_after_answers,
+    "callers end as they send": Trial._end_as_they_send,
 }
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -61,7 +61,7 @@
         self.releases = {}  # by proxy: {call: the release that goes on the next connection too}
         self.standing, self.answers = {}, {}  # {call: (Link, proxy)}
         self.hangs_until = 0.0
-        self.resets_until = self.late_until = 0.0
+        self.resets_until = self.late_until = self.ends_until = 0.0
         self.cut_until, self.slow = {}, {}  # by proxy: until when; (until when, s of delay)
         self.is_dead = False
 
@@ -181,8 +181,22 @@
             return
         self.trial.judge.stood(self.trial.now(), call, body)
         in_pieces = chance.random() < self.plan.in_pieces
+        if self.trial.now() < self.ends_until:
+            self._answer_and_end(m, link, body)
+            return
         link.put(reply(m, 200, body), in_pieces, lambda: self._stood(link, call))
 
+    def _answer_and_end(self, m, link, body):
+        """The connection ends with the answer's last byte, or inside the answer: then nothing stands."""
+        whole, data = self.trial.chance.random() < 0.6, reply(m, 200, body)
+
+        def written():
+            if whole:
+                self._stood(link, m.call_id)
+            link.writer.close()
+
+        link.put(data if whole else data[: self.trial.chance.randrange(1, len(data))], then=written)
+
     def _refuse(self, m, link, status, word):
         extra = f"Fail-Word: {word}\r\n" if word else ""
         link.put(
