Signals that come while a proxy starts wait for its handlers, and no longer end it

Both programs, for 0.1 to 0.2 s of each start, longer on a full machine (probe beside a soak: at each of 0 to 200 ms after the start).

Cause: the handlers come with the loop, after all is loaded; until then each signal has the interpreter's effect.

The test module plays series at the end for both programs too.

--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,32 +1,70 @@
-"""Processes of `thorndale run` and their signals."""
+"""Processes of `thorndale run` and `thorndale.node`, and signals that meet their start or their end."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import subprocess
 import sys
 from pathlib import Path
 
-from thorndale.standins.platform import until
+import pytest
+
+from bench.soak.plan import draw
+from thorndale.standins.platform import ControlFeed, configuration, until
 from thorndale.standins.ports import reserve_port
 
 EXAMPLES = Path(__file__).parents[1] / "examples"
+STEP_S = 0.003  # s between two signals of a series
 
 
-# Guards against an end by the signal itself where signals go on coming while the process ends.
-def test_signals_in_series_do_not_end_a_running_proxy_by_the_signal(tmp_path):
+def daemon(folder):
+    """The command and environment of `thorndale run` with the example's settings."""
     port = str(reserve_port())
     for path in EXAMPLES.glob("proxy*"):
         if path.is_file():
-            (tmp_path / path.name).write_text(path.read_text().replace("127.0.0.1:5060", f"127.0.0.1:{port}"))
-    command = [sys.executable, "-m", "thorndale", "run", str(tmp_path / "proxy.json5")]
-    environ = dict(os.environ, PYTHONDONTWRITEBYTECODE="1")
+            (folder / path.name).write_text(path.read_text().replace("127.0.0.1:5060", f"127.0.0.1:{port}"))
+    return ("-m", "thorndale", "run", str(folder / "proxy.json5")), {}
+
+
+def node(folder):
+    """The same of a border proxy of the platform, whose feed is down."""
+    feed = ControlFeed()
+    feed.host, feed.port = "127.0.0.1", reserve_port()
+    listen = f"127.0.0.1:{reserve_port()}"
+    (folder / "node.json").write_text(configuration(listen, feed, [], draw(1).settings))
+    return ("-m", "thorndale.node"), {"GW_CONFIG": str(folder / "node.json")}
+
+
+@contextlib.contextmanager
+def started(folder, program):
+    command, environ = program(folder)
+    environ = dict(os.environ, PYTHONDONTWRITEBYTECODE="1", **environ)
+    with open(folder / "log", "w") as log:
+        process = subprocess.Popen([sys.executable, *command], env=environ, stderr=log, stdout=log)
+    try:
+        yield process
+    finally:
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+
+
+def serves(folder):
+    return '"started"' in (folder / "log").read_text()
+
+
+def is_loading(process):
+    """Whether the program itself runs by now, and loads its libraries: before that the signal is the interpreter's."""
+    return "uvloop" in Path(f"/proc/{process.pid}/maps").read_text()
+
 
+# Guards against an end by the signal itself where signals go on coming while the process ends.
+@pytest.mark.parametrize("program", [daemon, node])
+def test_signals_in_series_do_not_end_a_running_proxy_by_the_signal(tmp_path, program):
     async def main():
-        with open(tmp_path / "log", "w") as log:
-            process = subprocess.Popen(command, env=environ, stderr=log, stdout=log)
-        try:
-            await until(lambda: '"started"' in (tmp_path / "log").read_text())
+        with started(tmp_path, program) as process:
+            await until(lambda: serves(tmp_path))
             process.send_signal(signal.SIGTERM)
             number = 0
             while process.poll() is None and number < 10_000:
@@ -34,10 +72,34 @@
                 number += 1
                 await asyncio.sleep(0.001)
             return process.returncode, number
-        finally:
-            if process.poll() is None:
-                process.kill()
-            process.wait()
 
     code, number = asyncio.run(main())
     assert code == 0 and number > 10
+
+
+# Guards against a crash where a new configuration is told to a proxy that is just being started.
+@pytest.mark.parametrize("program", [daemon, node])
+def test_a_proxy_told_to_reload_while_it_starts_comes_up(tmp_path, program):
+    async def main():
+        with started(tmp_path, program) as process:
+            await until(lambda: is_loading(process))
+            while not serves(tmp_path) and process.poll() is None:
+                process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(STEP_S)
+            assert process.poll() is None
+            process.send_signal(signal.SIGTERM)
+            return await asyncio.to_thread(process.wait, 10)
+
+    assert asyncio.run(main()) == 0
+
+
+# Guards against an end by the signal itself where a proxy is told to end while it starts.
+@pytest.mark.parametrize("program", [daemon, node])
+def test_a_proxy_told_to_end_while_it_starts_ends_in_order(tmp_path, program):
+    async def main():
+        with started(tmp_path, program) as process:
+            await until(lambda: is_loading(process))
+            process.send_signal(signal.SIGTERM)
+            return await asyncio.to_thread(process.wait, 10)
+
+    assert asyncio.run(main()) == 0
--- a/thorndale/daemon/run.py
+++ b/thorndale/daemon/run.py
@@ -90,6 +90,7 @@
         loop.add_signal_handler(number, told.set)
     again = asyncio.Event()
     loop.add_signal_handler(signals.TOLD_TO_RELOAD, again.set)
+    signals.unblock()
     heart = loop.create_task(_heart(border))
     reloader = loop.create_task(_reload(again, settings, path, border, say))
     try:
@@ -111,7 +112,7 @@
         left = border.left()
         await ends.close()
         await keeper.close()
-        signals.hold_off()
+        signals.block()
         tasks = len(asyncio.all_tasks()) - 1
         say(
             "info",
--- a/thorndale/node/__main__.py
+++ b/thorndale/node/__main__.py
@@ -5,10 +5,13 @@
 
 import sys
 
-from thorndale.node.start import StartError, read_start
+from thorndale import signals
 
 
 def main():
+    signals.block()  # before the rest is loaded, which takes most of the start
+    from thorndale.node.start import StartError, read_start
+
     try:
         path, config = read_start()
     except StartError as fault:
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -298,6 +298,7 @@
     loop.add_signal_handler(signals.TOLD_TO_RELOAD, shell.reload)
     for number in signals.TOLD_TO_END:
         loop.add_signal_handler(number, told.set)
+    signals.unblock()
     try:
         shell.open()
     except OSError as fault:
@@ -311,7 +312,7 @@
     ready()
     await told.wait()
     await shell.stop()
-    signals.hold_off()
+    signals.block()
     say("info", "stopped", counts=shell.core.count, standing=shell.core.standing())
     await shell.close()
 
