Platform: early releases have a module of their own; packages are called packages

The core kept releases of calls not known yet in two bare maps; they are an EarlyReleases of typed entries now, with the same bounds. No behaviour changes.

--- a/tests/platform/test_central.py
+++ b/tests/platform/test_central.py
@@ -49,7 +49,7 @@
 
 @given(st.lists(st.binary(max_size=400), max_size=6))
 @settings(max_examples=300, deadline=None)
-def test_garbage_raises_the_rooms_errors_alone(parts):
+def test_garbage_raises_the_packages_errors_alone(parts):
     framer = sip.Framer()
     try:
         for part in parts:
--- a/tests/platform/test_feed.py
+++ b/tests/platform/test_feed.py
@@ -50,7 +50,7 @@
         frame(2, 2, record(1, "127.0.0.1", 9)),
     ],
 )
-def test_what_cannot_be_read_is_the_rooms_error(data):
+def test_what_cannot_be_read_is_the_packages_error(data):
     with pytest.raises(PlatformError):
         events(data)
 
--- a/tests/platform/test_isup.py
+++ b/tests/platform/test_isup.py
@@ -39,7 +39,7 @@
 
 @given(st.lists(st.binary(max_size=300), max_size=8))
 @settings(max_examples=300, deadline=None)
-def test_garbage_raises_the_rooms_error_alone_and_holds_a_bounded_memory(parts):
+def test_garbage_raises_the_packages_error_alone_and_holds_a_bounded_memory(parts):
     framer = isup.Framer()
     try:
         for part in parts:
--- a/tests/platform/test_platform_border.py
+++ b/tests/platform/test_platform_border.py
@@ -367,7 +367,7 @@
     assert rig.got["c"] == [(isup.RELEASE, call, {isup.CAUSE: b"\x10"})] and not rig.core.standing()
     rig.later(31 * S)
     rig.bye(key, (78).to_bytes(8, "big"))
-    assert list(rig.core.early) == [(78).to_bytes(8, "big")]
+    assert list(rig.core.early.by_call) == [(78).to_bytes(8, "big")]
 
 
 # Guards against a call held for standing though its server had died before its caller told of it.
--- a/tests/sip/test_fuzz.py
+++ b/tests/sip/test_fuzz.py
@@ -1,4 +1,4 @@
-"""Generated and mutated messages: nothing but the room's own error comes out, and what parses parses again the same.
+"""Generated and mutated messages: nothing but the package's own error comes out, and what parses parses again the same.
 
 Seeded by hypothesis's `derandomize`, so that each run sees the same 100,000 and more.
 """
--- a/tests/sites/test_sites.py
+++ b/tests/sites/test_sites.py
@@ -1,4 +1,4 @@
-"""The sites room without a fleet: settings, health, the limit in sum, what the module is offered."""
+"""The package `sites` without a fleet: settings, health, the limit in sum, what the module is offered."""
 
 from random import Random
 
--- a/thorndale/config/plans.py
+++ b/thorndale/config/plans.py
@@ -59,16 +59,16 @@
         return name in among
 
     servers, offered = {}, [[0.0] * len(sites) for _ in types]
-    for n, room in enumerate(given.servers):
-        if not named(f"servers[{n}].name", room.name, known, "server"):
+    for n, server in enumerate(given.servers):
+        if not named(f"servers[{n}].name", server.name, known, "server"):
             continue
-        if room.name in servers:
-            faults.append(f"servers[{n}].name: {room.name!r} stands before it already")
-        servers[room.name] = Capacity(known[room.name], room.per_s, room.lines)
+        if server.name in servers:
+            faults.append(f"servers[{n}].name: {server.name!r} stands before it already")
+        servers[server.name] = Capacity(known[server.name], server.per_s, server.lines)
     faults += [
         f"servers: what {name!r} can take is missing"
         for name in known
-        if name not in {room.name for room in given.servers}
+        if name not in {server.name for server in given.servers}
     ]
     for n, row in enumerate(given.offered):
         site = named(f"offered[{n}].site", row.site, sites, "site")
--- a/thorndale/daemon/__init__.py
+++ b/thorndale/daemon/__init__.py
@@ -1,1 +1,1 @@
-"""The running border proxy: puts the rooms together, lives and dies in order."""
+"""The running border proxy: puts the packages together, lives and dies in order."""
--- a/thorndale/match/check.py
+++ b/thorndale/match/check.py
@@ -1,6 +1,6 @@
 """The checker: types, names, sizes, and the proven bound on the steps of each expression.
 
-A bound is the sum of its parts' bounds, with the longest input that the SIP room lets in. So it holds for every
+A bound is the sum of its parts' bounds, with the longest input that the SIP package lets in. So it holds for every
 message, and an expression over the limit is refused when it is loaded.
 """
 
--- a/thorndale/match/facts.py
+++ b/thorndale/match/facts.py
@@ -1,6 +1,6 @@
 """What an expression may read of a call, read when it is asked for and then kept.
 
-Bounds of what comes in are the SIP room's: no text is longer than MOST_TEXT, no list longer than MOST_VALUES.
+Bounds of what comes in are the SIP package's: no text is longer than MOST_TEXT, no list longer than MOST_VALUES.
 """
 
 from datetime import UTC, datetime
--- a/thorndale/match/faults.py
+++ b/thorndale/match/faults.py
@@ -1,4 +1,4 @@
-"""The room's errors: every fault of a text, each with its place."""
+"""The package's errors: every fault of a text, each with its place."""
 
 from typing import NamedTuple
 
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -11,8 +11,6 @@
 `shutdown`.
 """
 
-from collections import deque
-
 from thorndale import interface as io
 from thorndale.door import Door
 from thorndale.platform import central as sip
@@ -20,6 +18,7 @@
 from thorndale.platform.callers import CallerConnections
 from thorndale.platform.calls import Call, Seizure
 from thorndale.platform.description import is_description
+from thorndale.platform.early import EarlyReleases
 from thorndale.platform.errors import PlatformError
 from thorndale.platform.feed import fold
 from thorndale.platform.links import Central, Link
@@ -28,8 +27,6 @@
 from thorndale.timers import Timers
 
 TEND_US = 50_000  # us between two looks at releases owed and connections to central servers
-EARLY_MOST = 20_000  # such releases at most: as many as calls may stand
-EARLY_US = 30_000_000  # us for which a release of a call that is not known is kept, for the call may yet be told
 
 
 class Send:
@@ -60,7 +57,7 @@
         self.calls, self.links = {}, {}  # by id, being set up and standing; by key
         self.centrals, self.by_index, self.servers = {}, {}, 0
         self.releases, self.done = Releases(self.connections, send, self._note), []
-        self.early, self.early_at = {}, deque()  # id: (central's name, cause); (when to forget, id)
+        self.early = EarlyReleases()
         self.shutdown, self.pings = None, 0  # shutdown: its plan, once told to end
         self.kinds = {kind.index: kind for kind in config.kinds.values()}
         self.count = {}
@@ -237,12 +234,12 @@
         self.connections.prove(connection)
         self._note("taken up")
         central = self.centrals.get(setup.at)
-        name, cause = self.early.get(call, ("", outcomes.CUT))
-        if central is None or name == setup.at or central.was_cut:
+        early = self.early.of(call)
+        if central is None or central.was_cut or early is not None and early.server == setup.at:
             why = "its server is not known" if central is None else "its server has ended it"
             fields = {"connection": connection.key, "server": setup.at, "why": why}
             self.send.log("call", call=call.hex(), did="not taken up", **fields)
-            self.releases.owe(now, call, cause if name else outcomes.CUT, connection)
+            self.releases.owe(now, call, outcomes.CUT if early is None else early.cause, connection)
             return
         held = Call(connection, call, setup, kind)
         held.central = central
@@ -473,7 +470,7 @@
             self.send.log(
                 "call", call=signal.call, did="release of nothing open", server=central.name, cause=signal.cause
             )
-            self._keep_early(now, central, known, signal.cause or outcomes.CUT)
+            self.early.keep(now, known, central.name, signal.cause or outcomes.CUT)
             return
         report = sip.report(signal.report, self.config.fields) if signal.report else None
         seizure = call.seizure
@@ -484,14 +481,6 @@
             seizure.link.out.pop(call.text, None)
             self._end(now, seizure, io.RESET, report)
 
-    def _keep_early(self, now, central, call, cause):
-        """After a restart a server repeats what it could not release before callers have told what stands."""
-        while self.early_at and (self.early_at[0][0] <= now or len(self.early_at) >= EARLY_MOST):
-            self.early.pop(self.early_at.popleft()[1], None)
-        if call not in self.early:
-            self.early[call] = central.name, cause
-            self.early_at.append((now + EARLY_US, call))
-
     def _end_standing(self, now, call, outcome, report):
         """A call that stood is over."""
         central = call.central
--- a/thorndale/platform/errors.py
+++ b/thorndale/platform/errors.py
@@ -1,4 +1,4 @@
-"""The room's one error."""
+"""The package's one error."""
 
 
 class PlatformError(Exception):
--- a/thorndale/sites/health.py
+++ b/thorndale/sites/health.py
@@ -26,7 +26,7 @@
 
 
 class Site:
-    """`chance()` gives a share from 0 to 1. `told`: servers of it that the list holds to be serving."""
+    """One site as one proxy sees it. `chance()` gives a share from 0 to 1."""
 
     __slots__ = (
         "chance",
