Soak: a server that dies resets the connections that it has not seen yet

A process's end resets what its machine has accepted for it; a fault of the stand-in, not of the proxy.

--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -58,6 +58,7 @@
     def __init__(self, trial, plan, hold_s):
         self.trial, self.plan, self.hold_s, self.name = trial, plan, hold_s, plan.name
         self.listeners, self.ports, self.links = [], [], {}
+        self.coming = set()  # connections that the machine has accepted and this server has not seen yet
         self.releases = {}  # by proxy: {call: the release that goes on the next connection too}
         self.standing, self.answers = {}, {}  # {call: (Link, proxy)}
         self.hangs_until = 0.0
@@ -82,7 +83,9 @@
     def _came(self, proxy):
         async def serve(reader, writer):
             link = Link(self, proxy, reader, writer)
+            self.coming.add(link)
             await self._comes_up(proxy)
+            self.coming.discard(link)
             self.links[proxy].add(link)
             writing = self.trial.spawn(link.write())
             try:
@@ -268,6 +271,8 @@
         for listener in self.listeners:
             listener.close()
         self.listeners = []
+        for link in list(self.coming):
+            link.reset()
         self.cut()
         for call, link in list(self.standing.items()):
             self._over(call, link.proxy, "cut", False)
