--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -13,12 +13,14 @@
 import subprocess
 import sys
 import tempfile
+import traceback
 from concurrent.futures import ThreadPoolExecutor
 
 from bench.soak.plan import draw
 from bench.soak.play import Trial
 from bench.soak.proxies import NODE
 
+KEPT, BROKE, NOT_PLAYED = 0, 1, 2  # exit codes
 CORES_EACH = 3  # cores that a trial needs for its stand-ins and proxies
 SHOWN = 5  # breaks of one trial that are shown with their calls' whole ways
 LATE_S = 0.15  # s of the stand-ins' own lateness from which it is said
@@ -68,9 +70,13 @@
 def play_one(options):
     command = ("-m", "bench.soak.broken", options.planted) if options.planted else NODE
     trial = Trial(draw(options.seed), command, options.folder)
-    breaks = asyncio.run(trial.play())
+    try:
+        breaks = asyncio.run(trial.play())
+    except Exception:
+        traceback.print_exc()
+        return NOT_PLAYED
     print("\n".join(report(trial, breaks)), flush=True)
-    return 1 if breaks else 0
+    return BROKE if breaks else KEPT
 
 
 def play_many(options):
@@ -83,16 +89,17 @@
             command += ["--planted", options.planted]
         done = subprocess.run(command, capture_output=True, text=True)
         print(done.stdout, end="", flush=True)
-        if done.returncode not in (0, 1):
+        if done.returncode not in (KEPT, BROKE):
             print(f"seed {seed}: could not be played: {done.stderr[-2000:]}", flush=True)
         return done.returncode
 
     with ThreadPoolExecutor(options.jobs) as pool:
         codes = list(pool.map(play, range(options.first, options.first + options.seeds)))
-    print(
-        f"{codes.count(0)} seeds kept the rules, {codes.count(1)} broke one, {len(codes) - codes.count(0) - codes.count(1)} not played"
-    )
-    return max(codes, default=0) if all(code in (0, 1) for code in codes) else 2
+    kept, broke = codes.count(KEPT), codes.count(BROKE)
+    print(f"{kept} seeds kept the rules, {broke} broke one, {len(codes) - kept - broke} not played")
+    if kept + broke < len(codes):
+        return NOT_PLAYED
+    return BROKE if broke else KEPT
 
 
 def main():
--- a/bench/soak/proxies.py
+++ b/bench/soak/proxies.py
@@ -34,7 +34,7 @@
         self.name, self.port, self.process, self.runs = f"proxy{number}", reserve_port(), None, 0
         self.config = trial.folder / f"{self.name}.json"
         self.log = open(trial.folder / f"{self.name}.log", "w")  # noqa: SIM115 - closed by `close`
-        self.feed, self.changes = None, []
+        self.feed, self.changes, self.down_until = None, [], {}  # down_until: by feed that is down
         self.told_by = 0.0  # when, at the latest, all that the feed holds counts as told
 
     # ---- the process ----
@@ -137,10 +137,16 @@
         self.feed.mute = False
 
     async def down(self, seconds):
-        feed = self.feed
-        self.told_by = max(self.told_by, self.trial.now() + seconds + FEED_AFTER_BREAK_S)
+        feed, until = self.feed, self.trial.now() + seconds
+        self.told_by = max(self.told_by, until + FEED_AFTER_BREAK_S)
+        if feed in self.down_until:  # whoever took it down brings it back
+            self.down_until[feed] = max(until, self.down_until[feed])
+            return
+        self.down_until[feed] = until
         await feed.stop()
-        await asyncio.sleep(seconds)
+        while (wait := self.down_until[feed] - self.trial.now()) > 0:
+            await asyncio.sleep(wait)
+        del self.down_until[feed]
         feed.open.clear()
         await feed.start("127.0.0.1", feed.port)
 
