A call's end that is read before its answer, by another connection, is told after it

Cause: a server that closes a connection with its answer sends the call's end by another one. Where the proxy stands still or is busy meanwhile, both lie in its sockets and the end may be read first; it was answered and passed over, as it might be of an earlier attempt, and then the answer let the call stand.

Change: such a release is kept with the attempt, if the call had no earlier one at that server, and ends the call as soon as its answer is read.

--- a/tests/node/test_owed_at_ends.py
+++ b/tests/node/test_owed_at_ends.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+from test_crossings import stopped
 from test_node import SETTINGS, call_id, over, play
 
 from thorndale.platform import isup
@@ -194,3 +195,34 @@
         assert p.process.returncode == 0 and number > 100
 
     play(test, tmp_path)
+
+
+def ends_with_its_answer(server):
+    """A server that closes a connection with the answer's last byte, but for the oldest one."""
+    send, oldest = server.send, next(iter(server.open))
+
+    def send_and_close(writer, data, in_pieces=False):
+        send(writer, data, in_pieces)
+        if writer is not oldest and b" INVITE\r\n" in data:
+            server.open.discard(writer)
+            writer.close()
+
+    server.send = send_and_close
+
+
+# Guards against a call that stands for ever: its end was read before its answer, by another connection.
+@pytest.mark.parametrize("play_number", range(4))
+def test_an_end_that_is_read_before_its_answer_is_told_to_the_caller(tmp_path, play_number):
+    async def test(p):
+        caller = await p.caller()
+        server = p.servers[0]
+        server.answer_s = server.hold_s = 0.15
+        calls = [caller.setup(call_id(n), within=2900) for n in range(1, 9)]
+        await until(lambda: len(server.seen) == len(calls) and len(server.open) > 1)
+        ends_with_its_answer(server)
+        stopped(p)
+        await asyncio.sleep(0.5)
+        p.process.send_signal(signal.SIGCONT)
+        await until(lambda: all(over(caller, call) for call in calls), 3)
+
+    play(test, tmp_path)
--- a/tests/platform/test_platform_border.py
+++ b/tests/platform/test_platform_border.py
@@ -1,7 +1,7 @@
 """The core on the platform: one answer a call, one end a seizure, through each order of what may happen."""
 
 import pytest
-from platform_rig import ANSWER, BODY, MS, Rig, S, entry
+from platform_rig import ANSWER, BODY, HOSTS, MS, Rig, S, entry
 
 from thorndale import interface as io
 from thorndale.platform import isup, outcomes
@@ -98,6 +98,36 @@
     assert set(rig.ends().values()) == {1} and len(rig.core.door) == 0
 
 
+# Guards against a call that stands for ever: its end came by another connection before its answer was read.
+def test_a_release_that_comes_before_the_answer_is_told_after_it():
+    rig = Rig()
+    rig.up()
+    call = rig.setup()
+    key, invite = rig.last_invite()
+    rig.bye(key, call)
+    assert causes(rig) == []
+    rig.answer(key, invite)
+    assert causes(rig) == [(isup.ANSWER, 0), (isup.RELEASE, 16)]
+    assert not rig.core.calls and len(rig.core.door) == 0 and set(rig.ends().values()) == {1}
+
+
+# Guards against ending a call for the release of its earlier seizure at the same server.
+def test_a_release_of_an_earlier_seizure_at_the_server_ends_no_later_one():
+    one = {"n": 1, "events": [{"n": 1, "members": {"seq": 0, "whole": True, "hosts": HOSTS[:1]}}]}
+    rig = Rig(known=one)
+    rig.up()
+    call = rig.setup()
+    key, invite = rig.last_invite()
+    rig.do("server_lost", key, "spoilt")
+    rig.later(600 * MS)
+    rig.up()
+    again, second = rig.last_invite()
+    assert second is not invite and second.call == invite.call
+    rig.bye(again, call)
+    rig.answer(again, second)
+    assert causes(rig) == [(isup.ANSWER, 0)] and rig.core.standing() == 1
+
+
 def test_a_caller_that_gives_up_is_owed_nothing():
     rig = Rig()
     rig.up()
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -453,7 +453,9 @@
         central.standing[call.id] = call
         self._trace(call, "stood", connection=call.connection.key, server=central.name, taken=taken, lag_ms=lag // 1000)
         self.door.tell(io.Stood(call.index, seizure.number, central.index, lag))
-        if not taken:  # its caller's connection is ending: it stands for nobody
+        if seizure.released is not None:
+            self._over(now, call, seizure.released, None)
+        elif not taken:  # its caller's connection is ending: it stands for nobody
             self.send.to_server(seizure.link.key, sip.bye(call.text, 2, call.number, outcomes.CLEARED))
             self._end_standing(now, call, io.COMPLETED, None)
 
@@ -475,11 +477,24 @@
         report = sip.report(signal.report, self.config.fields) if signal.report else None
         seizure = call.seizure
         if call.central is central:
-            self._end_standing(now, call, outcomes.ended(signal.cause), report)
-            self.releases.owe(now, call.id, signal.cause or outcomes.CUT, call.connection)
-        elif seizure is not None and seizure.central is central and not outcomes.of_a_standing(signal.cause):
-            seizure.link.out.pop(call.text, None)
+            self._over(now, call, signal.cause, report)
+        elif seizure is not None and seizure.central is central:
+            self._released_unanswered(now, seizure, signal.cause, report)
+
+    def _released_unanswered(self, now, seizure, cause, report):
+        """A release while the answer has not been read: it may lie on another connection still, and stands only to be
+        over. Where the call had an earlier seizure there, it may be that one's."""
+        if not outcomes.of_a_standing(cause):
+            seizure.link.out.pop(seizure.call.text, None)
             self._end(now, seizure, io.RESET, report)
+        elif not seizure.again:
+            seizure.released = cause
+            self._trace(seizure.call, "released before its answer", server=seizure.central.name, cause=cause)
+
+    def _over(self, now, call, cause, report):
+        """Its server has released a call that stood: its caller is to be told."""
+        self._end_standing(now, call, outcomes.ended(cause), report)
+        self.releases.owe(now, call.id, cause or outcomes.CUT, call.connection)
 
     def _end_standing(self, now, call, outcome, report):
         """A call that stood is over."""
