Soak: a new process is told at its start what the list is by then

The proxy had been killed meanwhile and its new process was given the list of the trial's beginning, while its feed was down: it could not know.

`known` holds the events up to a process's start; what comes later it hears from the feed alone, also where SIGHUP moves it.

--- a/bench/soak/proxies.py
+++ b/bench/soak/proxies.py
@@ -34,7 +34,7 @@
         self.name, self.port, self.process, self.runs = f"proxy{number}", reserve_port(), None, 0
         self.config = trial.folder / f"{self.name}.json"
         self.log = open(trial.folder / f"{self.name}.log", "w")  # noqa: SIM115 - closed by `close`
-        self.feed, self.changes, self.down_until = None, [], {}  # down_until: by feed that is down
+        self.feed, self.changes, self.known, self.down_until = None, [], (), {}  # down_until: by feed that is down
         self.told_by = 0.0  # when, at the latest, all that the feed holds counts as told
 
     # ---- the process ----
@@ -42,15 +42,18 @@
     async def open(self):
         self.feed = await ControlFeed().start("127.0.0.1")
         self.feed.add(1)
-        self.write()
         await self.start()
 
     def write(self):
         known = [Reached(server, self.number) for server in self.trial.first_servers]
         plan, listen = self.trial.plan, f"127.0.0.1:{self.port}"
-        self.config.write_text(configuration(listen, self.feed, known, plan.settings, plan.sockets, self.number))
+        self.config.write_text(
+            configuration(listen, self.feed, known, plan.settings, plan.sockets, self.number, self.known)
+        )
 
     async def start(self):
+        self.known = tuple(self.changes)  # a process is told what is so at its start, later ones by the feed alone
+        self.write()
         environ = dict(os.environ, GW_CONFIG=str(self.config), PYTHONDONTWRITEBYTECODE="1")
         self.runs += 1
         run = self.trial.judge.started(self.trial.now(), self.number)
--- a/thorndale/standins/platform.py
+++ b/thorndale/standins/platform.py
@@ -268,23 +268,28 @@
         await asyncio.sleep(0.005)
 
 
-def configuration(listen, feed, servers, settings, sockets=256, number=0):
+def _known_host(name, host, port, state, pool, started_ms):
+    return {
+        "host": name,
+        "dial": f"{host}:{port}",
+        "site": "east",
+        "class": "std",
+        "block": pool,
+        "share": 1,
+        "health": ("Ready", "Terminating", "Gone")[state],
+        "born_ms": started_ms,
+    }
+
+
+def configuration(listen, feed, servers, settings, sockets=256, number=0, changes=()):
     """The text of the configuration of a fleet's border proxy of that number. `servers` are CentralServers; one that
-    names no `pool` has a pool of its own, in this order."""
-    hosts = [
-        {
-            "host": s.name,
-            "dial": f"{s.host}:{s.port}",
-            "site": "east",
-            "class": "std",
-            "block": getattr(s, "pool", n),
-            "share": 1,
-            "health": "Ready",
-            "born_ms": 0,
-        }
-        for n, s in enumerate(servers)
-    ]
-    known = {"n": 1, "events": [{"n": 1, "members": {"seq": 0, "whole": True, "hosts": hosts}}]}
+    names no `pool` has a pool of its own, in this order. `changes`: records of the feed's later events, one each."""
+    hosts = [_known_host(s.name, s.host, s.port, 0, getattr(s, "pool", n), 0) for n, s in enumerate(servers)]
+    events = [{"n": 1, "members": {"seq": 0, "whole": True, "hosts": hosts}}]
+    for name, *rest in changes:
+        members = {"seq": len(events), "whole": False, "hosts": [_known_host(f"s-{name:08x}", *rest)]}
+        events.append({"n": len(events) + 1, "members": members})
+    known = {"n": len(events), "events": events}
     return json.dumps(
         {
             "name": f"n{number}",
