Known red: a spoilt connection is replaced before its peer sees its end

Its connection was spoilt and replaced; the server sent the release on the old one, whose socket was not closed yet, after it had served the new one, and had no later connection to send it on again.

test_the_end_of_a_stream_that_cannot_be_read_has_reached_its_peer_before_it_is_told fails (the peer does not see the end when it is told).

--- a/tests/net/test_ends_of_streams.py
+++ b/tests/net/test_ends_of_streams.py
@@ -242,3 +242,26 @@
         peer.close()
 
     ordered(test)
+
+
+def sees_end(peer):
+    """Whether the end of its connection has come to a peer."""
+    try:
+        return peer.recv(1, socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+# Guards against a message that its peer still sends on a connection which was taken for lost and replaced already.
+def test_the_end_of_a_stream_that_cannot_be_read_has_reached_its_peer_before_it_is_told():
+    async def test(ends, core, number):
+        peer, _ = await admitted(ends, core, number)
+        seen = []
+        core.lost = lambda now, hop, kind: seen.append(sees_end(peer))
+        peer.sendall(b"OPTIONS sip:x SIP/2.0\r\nContent-Length: 99999999\r\n\r\n")
+        await until(lambda: seen)
+        assert seen == [True]
+
+    ordered(test)
