A spoilt or dropped connection ends on its socket before anyone is told of it

Cause: a connection that could not be read further, or was dropped, was told of first and closed a turn of the loop later. Whoever was told opened another connection at once, so a server could write a release to the old one although the new one was up, and did not send it again.

Change: the socket is shut down in both directions as the end is found, before it is told. The peer sees the end first, and keeps or repeats what it has to say for the next connection.

--- a/thorndale/net/tcp.py
+++ b/thorndale/net/tcp.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import errno
 import os
 import socket
@@ -141,6 +142,11 @@
         self.reason = self.reason or f"cannot be sent to: {fault.strerror}"
         self.drained.set()
 
+    def end_now(self):
+        """Ends both directions at once, so that the peer sees it before anyone who is told opens another connection."""
+        with contextlib.suppress(OSError):  # the peer has reset it
+            self.sock.shutdown(socket.SHUT_RDWR)
+
     async def read(self):
         """Reads to the end of the stream and tells of it in the same turn, so that it is known with what came."""
         stream = self.owner.stream
@@ -151,6 +157,7 @@
             self.owner.count["cut, unreadable"] += 1
             self.owner.fault = f"{self.hop.host}: {fault}"
             self.reason = f"unreadable: {fault}"
+            self.end_now()
         except OSError as fault:
             self.reason = self.reason or f"broken by its peer: {fault.strerror}"
         self.reason = self.reason or "closed by its peer"
@@ -430,6 +437,7 @@
         connection.reason = connection.reason or reason
         connection.closed, connection.ending_at = True, self.loop.time()
         self.finishing.pop(connection, None)
+        connection.end_now()
         self.loop.call_soon(self.tell, connection)
         task = self.tasks.get(connection)
         if task is not None:
