--- a/thorndale/standins/day.py
+++ b/thorndale/standins/day.py
@@ -18,6 +18,7 @@
 from thorndale.net.clock import now_us
 from thorndale.standins.apart import Apart, lacking
 from thorndale.standins.audit import RULES, Auditor
+from thorndale.standins.logs import read_events
 from thorndale.standins.parts import LIMITS, Here, OnwardPlan, times_of, work_of
 from thorndale.standins.poolbook import PoolBook
 from thorndale.standins.ports import reserve_port
@@ -48,6 +49,7 @@
         self.setups, self.waits = {}, {}  # by box: set-ups by the clock's second; us that each waited there
         self.processes, self.files, self.left, self.seconds = {}, {}, {}, 0.0
         self.killed = set()  # process ids of proxies that a fault has killed
+        self.kills = Counter()  # how often, by proxy
         self.tasks, self.faults, self.also = [], [], []
         self.wrong_type, self.editions, self.edition = 0, Counter(), 1
         self.observer = None  # (now, place, way, bytes) of every message at the stand-ins, beside the auditor
@@ -233,6 +235,10 @@
             await asyncio.sleep(0.03 + len(self.files) / 1000)
         raise DayError(f"{name} did not start in time")
 
+    def events(self, name):
+        """The events of a proxy's log. Raises LogError."""
+        return read_events(self.files[name].replace(".json5", ".log"), self.kills[name])
+
     def _task(self, coroutine):
         self.tasks.append(asyncio.get_running_loop().create_task(coroutine))
 
@@ -276,6 +282,7 @@
         elif kind == "proxy killed":
             for name in fault.who:
                 self.killed.add(self.processes[name].pid)
+                self.kills[name] += 1
                 self.processes[name].kill()
                 self._did("killed", name)
             for name in fault.who:
