Soak: slow feeds, servers whose connections never come up, bursts, hangs inside a message

What callers saw: nothing; these are faults that the soak did not play. It had no feed that writes in pieces, no connection to a central server that the network loses (late ones were accepted and silent), no sixty set-ups at once cut into pieces, and a server that hung between two pieces still wrote the second. Calls of two lines were not drawn.

Change: the four faults, and classes of one or two lines. What a slow feed tells counts as told 4 s after it is quick again, as for a silent one.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 
 from thorndale.platform import isup
@@ -12,6 +13,7 @@
 NEW_AFTER_TERM_S = 0.3  # s after SIGTERM in which new connections go on coming: 0.2 to 0.4 s
 PER_CONNECTION = 4  # set-ups open on a connection before another one is opened
 BAD_WAIT_S = 4.0
+BURST = 60  # set-ups that come at once
 ENDING = 8  # callers that end as they send, at one time
 
 
@@ -150,7 +152,8 @@
     def _message(self, call, kind, within_ms, redial, at=""):
         chance = self.trial.chance
         pool = chance.choice(self.trial.plan.settings["familyInfo"]["skilledPools"][kind])
-        figures = f"dest:{pool};width:1;via:-1" + (f";at:{at}" if at else "")
+        width = self.trial.plan.settings["familyInfo"]["classWidth"][kind]
+        figures = f"dest:{pool};width:{width};via:-1" + (f";at:{at}" if at else "")
         name = self.trial.plan.settings["classes"][kind]["name"].encode()
         return setup_message(call, name, within_ms, figures.encode(), redial=redial)
 
@@ -239,6 +242,30 @@
             line.writer.write(data)
             self.close(line, how == "resets")
 
+    async def burst(self):
+        """Many set-ups at once by one connection, cut into pieces that end inside a message."""
+        try:
+            line = await self.connect()
+        except OSError:
+            return
+        chance, classes, coming = self.trial.chance, self.trial.plan.settings["classes"], []
+        data = b""
+        for _ in range(BURST):
+            call, kind = self._id(), chance.randrange(len(classes))
+            within_ms = int(classes[kind]["giveUpMs"])
+            data += self._message(call, kind, within_ms, False)
+            coming.append((len(data), call, kind, within_ms))
+        async with line.writing:
+            for start, end in itertools.pairwise([0, *sorted(chance.sample(range(1, len(data)), 4)), len(data)]):
+                if not line.is_up:
+                    return
+                while coming and coming[0][0] <= end:
+                    _, call, kind, within_ms = coming.pop(0)
+                    line.open[call] = self.trial.now(), kind
+                    self.trial.judge.set_up(self.trial.now(), call.hex(), line.seen, within_ms / 1000)
+                line.writer.write(data[start:end])
+                await asyncio.sleep(chance.uniform(0, 0.05))
+
     async def bad(self):
         """Callers of no use, each of which is owed an answer or a close."""
         whole = self._message(self._id(), 0, 300, False)
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -118,7 +118,7 @@
         ],
         "familyInfo": {
             "classHoldMs": holds,
-            "classWidth": [1] * len(deadlines),
+            "classWidth": [chance.choice((1, 1, 2)) for _ in deadlines],
             "guardMs": chance.choice((50.0, 100.0, 250.0)),
             "skilledPools": [list(range(pools))] * len(deadlines),
         },
@@ -146,6 +146,7 @@
     "restart with signals",
     "kill",
     "feed silent",
+    "feed slow",
     "feed down",
     "moved",
     "moved thrice",
@@ -159,11 +160,12 @@
     "cut",
     "resets",
     "late connections",
+    "lost connections",
     "releases all",
     "closes",
 )
 LINK_FAULTS = ("link cut", "link reset", "link slow")
-CALLER_FAULTS = ("bad callers", "crowd", "callers close")
+CALLER_FAULTS = ("bad callers", "burst", "crowd", "callers close")
 CROSSINGS = (
     "drain in a silence",
     "drain as the feed returns",
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -15,6 +15,7 @@
 PULSE_S = 0.01  # s between two looks at how late the stand-ins' own loop is
 TIDY_S = 0.2
 CROWD = 150
+FEED_PIECE_S = 0.05, 0.7  # s between two pieces of a slow feed
 NEAR_S = 0.4  # s within which two things count as meeting
 SURGE = 6  # times as many set-ups come at a proxy that was told to end: callers that come again at once
 
@@ -114,8 +115,7 @@
             for line in list(callers.lines):
                 line.writer.close()
         for server in self.servers:
-            for listener in server.listeners:
-                listener.close()
+            server.close()
             server.cut()
         for proxy in self.proxies:
             await proxy.close()
@@ -139,6 +139,9 @@
     async def _feed_silent(self, fault):
         await self.proxies[fault.proxy].silent(fault.lasts)
 
+    async def _feed_slow(self, fault):
+        await self.proxies[fault.proxy].slow(fault.lasts, self.chance.uniform(*FEED_PIECE_S))
+
     async def _feed_down(self, fault):
         await self.proxies[fault.proxy].down(fault.lasts)
 
@@ -222,6 +225,10 @@
         self.servers[fault.server].late_until = self.now() + min(fault.lasts, 1.0)
         self.servers[fault.server].cut()
 
+    async def _lose_connections(self, fault):
+        self._trouble(fault, range(self.plan.proxies))
+        await self.servers[fault.server].lose_connections(fault.lasts)
+
     async def _ends_after_answers(self, fault):
         """For a while it ends a connection with each answer, or inside it."""
         self._trouble(fault, range(self.plan.proxies))
@@ -252,6 +259,9 @@
     async def _end_as_they_send(self, fault):
         await self.callers[fault.proxy].end_as_they_send()
 
+    async def _burst(self, fault):
+        await self.callers[fault.proxy].burst()
+
     async def _crowd(self, fault):
         await self.callers[fault.proxy].crowd(CROWD)
 
@@ -264,6 +274,7 @@
     "restart with signals": Trial._restart,
     "kill": Trial._kill,
     "feed silent": Trial._feed_silent,
+    "feed slow": Trial._feed_slow,
     "feed down": Trial._feed_down,
     "moved": Trial._move,
     "moved thrice": Trial._move,
@@ -274,12 +285,14 @@
     "cut": Trial._cut,
     "resets": Trial._resets,
     "late connections": Trial._late,
+    "lost connections": Trial._lose_connections,
     "releases all": Trial._release_all,
     "closes": Trial._closes,
     "link cut": Trial._link,
     "link reset": Trial._link,
     "link slow": Trial._link,
     "bad callers": Trial._bad,
+    "burst": Trial._burst,
     "crowd": Trial._crowd,
     "callers close": Trial._close_callers,
     "drain in a silence": Trial._drain_in_silence,
--- a/bench/soak/proxies.py
+++ b/bench/soak/proxies.py
@@ -139,6 +139,15 @@
         await asyncio.sleep(seconds)
         self.feed.mute = False
 
+    async def slow(self, seconds, piece_s):
+        """The feed writes in pieces, and is asked anew meanwhile."""
+        feed = self.feed
+        feed.piece_s = piece_s
+        self.told_by = max(self.told_by, self.trial.now() + seconds + FEED_AFTER_SILENCE_S)
+        feed.cut()
+        await asyncio.sleep(seconds)
+        feed.piece_s = 0.0
+
     async def down(self, seconds):
         feed, until = self.feed, self.trial.now() + seconds
         self.told_by = max(self.told_by, until + FEED_AFTER_BREAK_S)
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -10,6 +10,7 @@
 
 STATE_S = 0.5  # s between two unasked tellings of a server's state
 HOLD_LEAST_S = 0.05
+QUEUE_FULL = 4  # connections that fill a queue of none
 TAKEN_S = 0.3  # s after which a connection that was written to is known to be up still
 
 
@@ -31,6 +32,7 @@
                 half = len(data) // 2
                 self.writer.write(data[:half])
                 await asyncio.sleep(self.server.plan.pieces_s)
+                await self.server.passes(self.proxy)
                 data = data[half:]
             self.writer.write(data)
             if then is not None:
@@ -52,6 +54,24 @@
         self.writer.transport.abort()
 
 
+class FullQueue:
+    """Listens at a port and takes nobody: its queue is full, so the machine drops what asks for a connection."""
+
+    def __init__(self, port):
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(("127.0.0.1", port))
+        self.listener.listen(0)
+        self.waiting = [socket.socket() for _ in range(QUEUE_FULL)]
+        for sock in self.waiting:
+            sock.setblocking(False)
+            sock.connect_ex(self.listener.getsockname())
+
+    def close(self):
+        for sock in (*self.waiting, self.listener):
+            sock.close()
+
+
 class Server:
     """One central server; `trial` has `now()`, `judge`, `chance` and `spawn(coroutine)`."""
 
@@ -260,6 +280,25 @@
 
     # ---- faults ----
 
+    async def lose_connections(self, seconds):
+        """Connections to it end, and for a while no new one comes up: nothing answers where it listens."""
+        if not self.listeners:
+            return
+        self.close()
+        self.listeners = [FullQueue(port) for port in self.ports]
+        losing = self.listeners
+        self.cut()
+        await asyncio.sleep(seconds)
+        if self.listeners is losing:
+            self.close()
+            await self._listen()
+
+    def close(self):
+        """Listens no longer."""
+        for listener in self.listeners:
+            listener.close()
+        self.listeners = []
+
     def cut(self):
         for links in self.links.values():
             for link in list(links):
@@ -268,9 +307,7 @@
     def die(self):
         """The process ends: its listeners are closed, its connections reset and its calls cut."""
         self.is_dead = True
-        for listener in self.listeners:
-            listener.close()
-        self.listeners = []
+        self.close()
         for link in list(self.coming):
             link.reset()
         self.cut()
--- a/thorndale/standins/platform.py
+++ b/thorndale/standins/platform.py
@@ -175,11 +175,12 @@
 class ControlFeed(Peer):
     """Holds the events from the first on. `asked` are the numbers asked from. `mute`: what happens meanwhile is left
     out on the connections that are open; `begins_empty`: an empty frame comes before the events asked for;
-    `piece_s`: s between two of the pieces in which those are written, where it is not 0."""
+    `piece_s`: s between two of the pieces in which events are written, where it is not 0."""
 
     def __init__(self):
         super().__init__()
         self.frames, self.asked, self.mute, self.begins_empty, self.piece_s = [], [], False, False, 0.0
+        self.writing = {}  # by writer: the lock of whoever writes to it, so that nothing goes out inside an event
 
     def add(self, kind, *records):
         """An event with records of (id, host, port, state, pool, started in ms)."""
@@ -190,8 +191,8 @@
         number = len(self.frames) + 1
         self.frames.append(struct.pack(">IQB", 9 + len(data), number, kind) + data)
         if not self.mute:
-            for writer in self.open:
-                writer.write(self.frames[-1])
+            for writer, lock in self.writing.items():
+                self._keep(self._write(writer, lock, self.frames[-1]))
         return number
 
     async def serve(self, reader, writer):
@@ -200,18 +201,24 @@
         if self.begins_empty:
             writer.write(self._empty())
             await asyncio.sleep(0.05)
-        await self._write_events(writer, b"".join(self.frames[number:]))
-        while True:
-            await asyncio.sleep(1)
-            if not self.mute:
-                writer.write(self._empty())
-                await writer.drain()
-
-    async def _write_events(self, writer, data):
-        size = max(1, len(data) // FEED_PIECES) if self.piece_s else len(data) or 1
-        for first in range(0, len(data), size):
-            writer.write(data[first : first + size])
-            await asyncio.sleep(self.piece_s)
+        lock = self.writing[writer] = asyncio.Lock()
+        try:
+            await self._write(writer, lock, b"".join(self.frames[number:]))
+            while True:
+                await asyncio.sleep(1)
+                if not self.mute:
+                    await self._write(writer, lock, self._empty())
+        finally:
+            del self.writing[writer]
+
+    async def _write(self, writer, lock, data):
+        """Events in order, each whole or in pieces."""
+        async with lock:
+            size = max(1, len(data) // FEED_PIECES) if self.piece_s else len(data) or 1
+            for first in range(0, len(data), size):
+                writer.write(data[first : first + size])
+                if self.piece_s:
+                    await asyncio.sleep(self.piece_s)
 
     def _empty(self):
         return struct.pack(">IQB", 9, len(self.frames), 0)
