net: one connection and the set of them are modules of their own

Cause: each mend of an end added to both in one file.

Change: `connection.py` has Stream, connect and Connection, `tcp.py` has Tcp; no line of either changes but imports, constants and the two modules' own texts.

--- a/thorndale/node/follow.py
+++ b/thorndale/node/follow.py
@@ -1,6 +1,7 @@
 """The control feed followed: asked from the last number had, anew after each break, silence or fault."""
 
-from thorndale.net.tcp import Stream, Tcp
+from thorndale.net.connection import Stream
+from thorndale.net.tcp import Tcp
 from thorndale.platform import feed
 from thorndale.platform.errors import PlatformError
 
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -11,7 +11,8 @@
 from thorndale import signals
 from thorndale.net.alarm import Alarm
 from thorndale.net.clock import now_us
-from thorndale.net.tcp import Stream, Tcp
+from thorndale.net.connection import Stream
+from thorndale.net.tcp import Tcp
 from thorndale.node.follow import Follower
 from thorndale.node.log import Say
 from thorndale.node.start import StartError, read_file
