--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -344,17 +344,22 @@
     play(test, tmp_path)
 
 
+async def told_after_a_cut(p, folder, seconds):
+    """The feed's connection ends, and an event that it had not told is told by the next one."""
+    a = p.servers[0]
+    p.feed.mute = True
+    p.feed.add(2, (0xA, a.host, a.port, 1, 0, 0))
+    p.feed.mute = False
+    p.feed.cut()
+    await until(lambda: "draining by the list" in (folder / "log").read_text(), seconds)
+    assert len(p.feed.asked) == 2
+
+
 # Guards against breaking off a feed that says how far it is before it tells what is missing.
 def test_a_feed_that_begins_with_its_latest_number_is_listened_to(tmp_path):
     async def test(p):
         p.feed.begins_empty = True
-        a = p.servers[0]
-        p.feed.mute = True
-        p.feed.add(2, (0xA, a.host, a.port, 1, 0, 0))
-        p.feed.mute = False
-        p.feed.cut()
-        await until(lambda: "draining by the list" in (tmp_path / "log").read_text(), 2)
-        assert len(p.feed.asked) == 2
+        await told_after_a_cut(p, tmp_path, 2)
 
     play(test, tmp_path)
 
@@ -363,13 +368,7 @@
 def test_an_event_that_a_slow_feed_writes_in_pieces_is_waited_for(tmp_path):
     async def test(p):
         p.feed.piece_s = 0.6
-        a = p.servers[0]
-        p.feed.mute = True
-        p.feed.add(2, (0xA, a.host, a.port, 1, 0, 0))
-        p.feed.mute = False
-        p.feed.cut()
-        await until(lambda: "draining by the list" in (tmp_path / "log").read_text(), 4)
-        assert len(p.feed.asked) == 2
+        await told_after_a_cut(p, tmp_path, 4)
 
     play(test, tmp_path)
 
