Soak: a call's end counts at the server whose answer its caller got

No caller was wronged.

Cause: a fault of the judge. A server's answer crossed the end of its connection, so that server held the call for standing, and the proxy, which never had that answer, set it up at another, whose answer the caller got. The judge took the first server's release for the end of the call. By the same mistake a restarted process could be told of the call at the wrong server.

Change: answers and ends are kept by server, and the end that is owed is that of the server whose answer the caller has. As strict as before for it; for any other server nothing is owed by the protocol, where an attempt is given up as its connection closes.

--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -202,7 +202,7 @@
         if chance.random() < self.plan.spoils:
             link.put(spoilt(chance, reply(m, 200, body)), then=lambda: self._ended(link, call, "a spoilt answer"))
             return
-        self.trial.judge.stood(self.trial.now(), call, body)
+        self.trial.judge.stood(call, self.name, body)
         in_pieces = chance.random() < self.plan.in_pieces
         if self.trial.now() < self.ends_until:
             self._answer_and_end(m, link, body)
