Connections to a server that fail together put the next try off once

Cause: the wait before the next connection doubles with each that fails, and the four to one server were counted one by one. Where all were reset and the four that followed did not come up, the next try came 1 s later. The server's process died and another came up at its place in that second; no refusal was seen, which alone proves the death, and the new process knows of no call.

Change: what fails before the next try is due counts once; the wait doubles with tries that follow each other.

--- a/tests/platform/test_platform_border.py
+++ b/tests/platform/test_platform_border.py
@@ -266,6 +266,25 @@
         assert causes(rig)[-1] == (isup.RELEASE, 16)
 
 
+# Guards against a dead server's refusals missed: four connections that failed together were waited for like four tries.
+def test_connections_that_fail_together_put_the_next_try_off_once():
+    rig = Rig()
+    rig.up()
+    for _ in range(4):
+        rig.setup(figures=b"dest:0;width:1")
+    rig.up()
+    for key, invite in rig.invites():
+        rig.answer(key, invite)
+    for kind, wait_us in (("lost", 200 * MS), ("unreached", 200 * MS)):
+        for key in [key for key, link in rig.core.links.items() if link.central.standing]:
+            rig.do("server_lost", key, kind)
+        dialled = len(rig.dialled)
+        rig.later(wait_us)
+    assert len(rig.dialled) > dialled and rig.core.standing() == 4
+    rig.do("server_lost", rig.dialled[-1][0], "refused")
+    assert rig.core.standing() == 0
+
+
 def test_a_silent_connection_takes_no_new_set_up():
     rig = Rig()
     rig.up()
--- a/thorndale/platform/links.py
+++ b/thorndale/platform/links.py
@@ -112,9 +112,10 @@
         self.fails = 0
 
     def failed(self, now):
-        """A connection was lost or never came up: when the next may be opened."""
-        self.fails += 1
-        self.again_at = now + min(AGAIN_MOST_US, AGAIN_US << min(self.fails - 1, 10))
+        """A connection was lost or never came up: when the next may be opened. Those that fail together count once."""
+        if now >= self.again_at:
+            self.fails += 1
+            self.again_at = now + min(AGAIN_MOST_US, AGAIN_US << min(self.fails - 1, 10))
         if not self.dark_since and not any(link.opened for link in self.links):
             self.dark_since = now
 
