Soak: a call whose end was told before it came breaks `lost`

What was seen: nothing; the judge had no eye for it. A proxy that told its callers of an end at once would have passed.

Cause: the judge asked of a release only that it comes in time.

Change: an end that is told while the call stands at its server breaks `lost`, unless the link to that server was in trouble or the feed had told it leaving since the call was set up, or a restarted process was told of the call: there a proxy may hold it for over.

--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -52,6 +52,7 @@
         self.answers, self.left_at, self.attempts = [], None, []
         self.bodies, self.server, self.overs = {}, None, {}
         self.stood_at = self.told_at = self.retold_at = None
+        self.released_by_caller = False
         self.story = [(at, f"set-up by connection {connection.number} of proxy {proxy}, answer due {due:.3f}")]
 
     def note(self, at, text):
@@ -102,6 +103,7 @@
         self.rules, self.calls, self.breaks, self.lag_s = rules, {}, [], 0.0
         self.runs = [[] for _ in range(proxies)]
         self.connections, self.barred, self.troubled = [], {}, {}
+        self.told_leaving = set()  # (proxy, server) that the feed has told leaving, ever
         self.bad = self.checked = 0
         self.cold = {}  # by server: Cold
         self.recent, self.peak = {}, {}  # by server: times of its set-ups in the last window; the most in any
@@ -196,7 +198,7 @@
 
     def released_by_caller(self, now, call):
         held = self.calls[call]
-        held.told_at = held.told_at or now
+        held.told_at, held.released_by_caller = held.told_at or now, True
         held.note(now, "released by its caller")
 
     def told_again(self, now, call):
@@ -220,6 +222,7 @@
     def told(self, now, proxy, server, state, at_latest):
         """The feed has told, or counts as having told at the latest, that a server is leaving or back."""
         if state:
+            self.told_leaving.add((proxy, server))
             self.barred.setdefault((proxy, server), at_latest)
         else:
             self.barred.pop((proxy, server), None)
@@ -301,6 +304,7 @@
                 self._unanswered(now, call)
             elif call.over is not None:
                 self._release(now, call)
+            self._told_of_no_end(call)
         return sorted(self.breaks)
 
     def _overlaps(self, now, call):
@@ -335,6 +339,17 @@
                 due, "lost", call.id, f"it was over, and its caller was told {call.told_at - due:.2f} s too late"
             )
 
+    def _told_of_no_end(self, call):
+        """An end that was told before it came, by a proxy that had its server's link all the time."""
+        if call.stood_at is None or call.told_at is None or call.released_by_caller or call.retold_at is not None:
+            return
+        if call.over is not None and call.told_at >= call.over.at - SLACK_S - self.lag_s:
+            return
+        link = call.proxy, call.server
+        if link in self.told_leaving or self._in_trouble(*link, call.stood_at - 1, call.told_at):
+            return
+        self.broke(call.told_at, "lost", call.id, f"its caller was told of its end, and it stands at {call.server}")
+
     def _release_due(self, call):
         """When the caller had to be told at the latest; None where nobody was there to be told."""
         since, within = call.over
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -62,6 +62,27 @@
     assert rules_broken(judge) == ["lost"]
 
 
+@pytest.mark.parametrize(("told_at", "broken"), [(1.5, ["lost"]), (1.98, []), (2.5, [])])
+def test_an_end_is_not_told_before_it_has_come(judge, told_at, broken):
+    stands(judge)
+    judge.released(told_at, CALL, 16)
+    judge.over(2.0, CALL, 0, SERVER, "released", True)
+    assert rules_broken(judge) == broken
+
+
+def test_a_call_that_nobody_has_ended_is_not_told_over(judge):
+    stands(judge)
+    judge.released(5.0, CALL, 16)
+    assert rules_broken(judge) == ["lost"]
+
+
+def test_a_server_out_of_reach_may_be_taken_for_dead(judge):
+    stands(judge)
+    judge.trouble(2.0, 0, SERVER, 8.0)
+    judge.released(6.0, CALL, 41)
+    assert not rules_broken(judge)
+
+
 def test_a_release_that_could_not_be_sent_has_eight_seconds(judge):
     stands(judge)
     judge.over(2.0, CALL, 0, SERVER, "cut", False)
