A connection lost with calls standing is opened anew with pauses

What callers saw: nothing yet. A proxy with calls standing at a server that closes each connection as it comes up opened 9,262 connections to it in 2 s, which takes the loop's time from all other calls and falls on the server.

Cause: a release that was sent on a lost connection is sent again on the next one, so the next was opened at once; that had a bound only where no other connection was left. With four, each loss opened another without end, and any message reset the wait.

Change: the first loss since the server was well opens the next one at once; for later ones the server is marked as owing a connection, and it is opened when the doubled wait is over, within 400 ms while calls stand. What comes by a connection ends the doubling only once it has been up for 1 s. Connections whose stream is spoilt count too: they went round the wait as well. A server that hangs is connected to by one or two connections at a time, no longer by all four.

--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -344,6 +344,32 @@
     play(test, tmp_path)
 
 
+MOST_TRIES = 20  # connections in 2 s to a server that ends each: the wait between them doubles from 50 to 400 ms
+
+
+# Guards against connecting without a pause to a server whose connections end as soon as they are up.
+def test_a_server_that_closes_each_connection_at_once_is_tried_with_pauses(tmp_path):
+    async def test(p):
+        for server in p.servers:
+            server.hold_s = 30
+        caller = await p.caller()
+        calls = [caller.setup(call_id(n)) for n in range(20)]
+        await until(lambda: all(caller.kinds(call) == [isup.ANSWER] for call in calls))
+        before = [server.accepted for server in p.servers]
+        for server in p.servers:
+            server.closes = True
+            server.cut()
+        await asyncio.sleep(2)
+        assert max(s.accepted - n for s, n in zip(p.servers, before, strict=True)) <= MOST_TRIES
+        for server in p.servers:
+            server.closes = False
+            for call in list(server.standing):
+                server.end(call, 16)
+        await until(lambda: all(over(caller, call) for call in calls), 3)
+
+    play(test, tmp_path)
+
+
 async def told_after_a_cut(p, folder, seconds):
     """The feed's connection ends, and an event that it had not told is told by the next one."""
     a = p.servers[0]
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -302,6 +302,7 @@
         key = self.send.connect(central.host, central.port)
         link = self.links[key] = Link(key, central, now)
         central.links.append(link)
+        central.misses_one = False
         central.count("connections")
         return link
 
@@ -376,18 +377,15 @@
             if not seizure.over:
                 self._end(now, seizure, outcomes.connection(kind, seizure.sent_at is not None), None)
         link.out = {}
-        if kind != "spoilt":
-            central.failed(now)
+        is_first = central.failed(now)
         if kind == "refused" and not any(other.opened for other in central.links):
             self._cut(now, central, "refuses connections")
         if central.state == io.GONE:
             self._gone(now, central)
-        elif (
-            (central.standing or central.waiting)
-            and kind in ("lost", "spoilt")
-            and (central.fails < 2 or central.links)
-        ):
-            self._open(now, central)  # a release sent on the old one is sent again on the next that is opened
+        elif (central.standing or central.waiting) and kind in ("lost", "spoilt"):
+            central.misses_one = True  # a release sent on the old one is sent again on the next that is opened
+            if is_first:
+                self._open(now, central)
 
     def server_progress(self, now, key):
         """Part of a message has come from a central server."""
@@ -646,7 +644,7 @@
                     self._drop(now, link)
             if central.is_dark(now):
                 self._cut(now, central, "cannot be reached", proved=False)
-            if not central.links and central.state != io.GONE and now >= central.again_at:
+            if central.wants_connection(now):
                 self._open(now, central)
 
     # ---- counts and the log ----
--- a/thorndale/platform/links.py
+++ b/thorndale/platform/links.py
@@ -4,6 +4,8 @@
 A connection is kept by the server's id and never by its address, since a gone server's address may be a new one's.
 """
 
+from thorndale import interface as io
+
 LINKS_MOST = 4  # connections to a server: the protocol's bound for unasked states
 USED_QUIET_US = 250_000  # us of silence with calls out or standing before a connection is asked: a release sent on
 # one that has fallen silent must be heard by another within 1 s
@@ -13,6 +15,10 @@
 DARK_US = 4_000_000  # us without any connection after which calls are held to be over: half of what the pages grant
 AGAIN_US = 50_000  # us from the first loss to the next connection, doubled while they fail
 AGAIN_MOST_US = 1_000_000  # us at most between two tries
+AGAIN_STANDING_US = (
+    400_000  # us at most while calls stand there: a release that was lost is heard by the next within 1 s
+)
+STEADY_US = 1_000_000  # us for which a connection must have been up before what comes by it ends the doubling
 GIVEN_UP_US = 30_000_000  # us for which a set-up given up is remembered, so that its late answer is released
 
 
@@ -60,6 +66,7 @@
         "broke_at",
         "again_at",
         "fails",
+        "misses_one",
         "passed",
         "lags",
     )
@@ -69,6 +76,7 @@
         self.host, self.port, self.pool, self.state, self.started = "", 0, -1, -1, 0
         self.links, self.standing, self.dark_since = [], {}, 0
         self.again_at, self.fails, self.broke_at = 0, 0, -1
+        self.misses_one = False
         self.passed, self.lags, self.waiting, self.was_cut = {}, [], [], False
 
     def count(self, what):
@@ -109,15 +117,24 @@
 
     def heard(self, link, now):
         link.heard_at, link.asked_at, link.in_message = now, 0, False
-        self.fails = 0
+        if now - link.made_at >= STEADY_US:
+            self.fails = 0
 
     def failed(self, now):
-        """A connection was lost or never came up: when the next may be opened. Those that fail together count once."""
-        if now >= self.again_at:
+        """A connection was lost or never came up: when the next may be opened. Those that fail together count once.
+        Whether this is the first since the server was well: then the next may be opened at once."""
+        counts = now >= self.again_at
+        if counts:
             self.fails += 1
-            self.again_at = now + min(AGAIN_MOST_US, AGAIN_US << min(self.fails - 1, 10))
+            most = AGAIN_STANDING_US if self.standing else AGAIN_MOST_US
+            self.again_at = now + min(most, AGAIN_US << min(self.fails - 1, 10))
         if not self.dark_since and not any(link.opened for link in self.links):
             self.dark_since = now
+        return counts and self.fails == 1
+
+    def wants_connection(self, now):
+        """Whether one is to be opened now: there is none, or one that was lost may have had a release on it."""
+        return (not self.links or self.misses_one) and self.state != io.GONE and now >= self.again_at
 
     def doubtful(self):
         """Connections opened after one had broken: its process may have ended then, and the address be another's."""
--- a/thorndale/standins/platform.py
+++ b/thorndale/standins/platform.py
@@ -73,14 +73,15 @@
 
 class CentralServer(Peer):
     """`spoil(call)`: bytes to send in place of the next answer, or None. `seen` is {call: number of set-ups}.
-    `piece_s`: seconds between the two halves in which an answer is written; 0 writes it whole."""
+    `piece_s`: seconds between the two halves in which an answer is written; 0 writes it whole. `closes`: it closes each
+    new connection at once; `accepted` counts them."""
 
     def __init__(self, name, answer_s=0.01, hold_s=0.2):
         super().__init__()
         self.name, self.answer_s, self.hold_s = name, answer_s, hold_s
         self.seen, self.standing, self.cancelled, self.cut_by_peer = {}, {}, set(), set()
         self.spoil, self.hang, self.unsent = lambda call: None, False, []
-        self.piece_s, self.queues = 0.0, {}
+        self.piece_s, self.queues, self.closes, self.accepted = 0.0, {}, False, 0
 
     def send(self, writer, data, in_pieces=False):
         """Messages of one connection go out in order; those behind one in pieces wait for its last."""
@@ -106,6 +107,9 @@
         del self.queues[writer]
 
     async def serve(self, reader, writer):
+        self.accepted += 1
+        if self.closes:
+            return
         framer = framing.Framer()
         self._state(writer)
         for text in self.unsent:
