Soak: servers that close each connection as it comes up, and connections without a pause

Cause: servers closed the connections that were open, once, and nobody counted the connections that came.

Change: a fault in which a server closes each connection as it comes up, and a rule: over 200 connections in a second from one proxy to one server break `connections`.

--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -16,6 +16,7 @@
 TERM_S = 0.7  # s after SIGTERM up to which an unanswered set-up is not held against a killed proxy
 BAD_S = 3.0  # s in which a caller of no use is owed an answer or a close
 READY_S = 10.0  # s in which a restarted proxy is ready
+CONNECTIONS_MOST = 200  # a second from one proxy to one server: more than its set-ups can be
 SMALL = 30  # set-ups that a cold server may get below which chance has more room
 
 
@@ -106,6 +107,7 @@
         self.told_leaving = set()  # (proxy, server) that the feed has told leaving, ever
         self.bad = self.checked = 0
         self.cold = {}  # by server: Cold
+        self.recent_connections = {}  # by proxy and server: times at which they were opened, in the last second
         self.recent, self.peak = {}, {}  # by server: times of its set-ups in the last window; the most in any
 
     def broke(self, at, rule, call, text):
@@ -275,6 +277,16 @@
                 now, "failback", call, f"{len(recent)} set-ups in {window_s} s at {server}, which bears {most:.1f}"
             )
 
+    def connected(self, now, proxy, server):
+        """A proxy has opened a connection to a central server."""
+        recent = self.recent_connections.setdefault((proxy, server), deque())
+        recent.append(now)
+        while recent[0] < now - 1:
+            recent.popleft()
+        if len(recent) > CONNECTIONS_MOST:
+            self.broke(now, "connections", "", f"proxy {proxy} opened {len(recent)} to {server} in a second")
+            recent.clear()
+
     def stood(self, call, server, body):
         self.calls[call].bodies[body] = server
 
--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -163,6 +163,7 @@
     "lost connections",
     "releases all",
     "closes",
+    "closes at once",
 )
 LINK_FAULTS = ("link cut", "link reset", "link slow")
 CALLER_FAULTS = ("bad callers", "burst", "crowd", "callers close")
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -217,6 +217,11 @@
             for link in list(links):
                 link.writer.close()
 
+    async def _closes_at_once(self, fault):
+        """It closes all connections, and each new one as it comes up."""
+        self.servers[fault.server].closes_until = self.now() + fault.lasts
+        await self._closes(fault)
+
     async def _resets(self, fault):
         self._trouble(fault, range(self.plan.proxies))
         self.servers[fault.server].resets_until = self.now() + fault.lasts
@@ -289,6 +294,7 @@
     "lost connections": Trial._lose_connections,
     "releases all": Trial._release_all,
     "closes": Trial._closes,
+    "closes at once": Trial._closes_at_once,
     "link cut": Trial._link,
     "link reset": Trial._link,
     "link slow": Trial._link,
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -82,7 +82,7 @@
         self.releases = {}  # by proxy: {call: the release that goes on the next connection too}
         self.standing, self.answers = {}, {}  # {call: (Link, proxy)}
         self.hangs_until = 0.0
-        self.resets_until = self.late_until = self.ends_until = 0.0
+        self.resets_until = self.late_until = self.ends_until = self.closes_until = 0.0
         self.cut_until, self.slow = {}, {}  # by proxy: until when; (until when, s of delay)
         self.is_dead = False
 
@@ -102,6 +102,10 @@
 
     def _came(self, proxy):
         async def serve(reader, writer):
+            self.trial.judge.connected(self.trial.now(), proxy, self.name)
+            if self.trial.now() < self.closes_until:
+                writer.close()
+                return
             link = Link(self, proxy, reader, writer)
             self.coming.add(link)
             await self._comes_up(proxy)
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -195,3 +195,10 @@
     from bench.soak.play import FAULTS
 
     assert played == set(FAULTS)
+
+
+@pytest.mark.parametrize(("gap_s", "broken"), [(0.004, ["connections"]), (0.006, [])])
+def test_connections_without_a_pause_are_found(judge, gap_s, broken):
+    for number in range(210):
+        judge.connected(1.0 + number * gap_s, 0, SERVER)
+    assert rules_broken(judge) == broken
