Test of a feed that is cut waits until the proxy has asked it

Cause: the test cut the feed's connections before the stand-in had taken the proxy's, so that none was cut and the first one told the event. The proxy takes callers before its feed is up.

What it asserts stays.

--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -373,6 +373,7 @@
 async def told_after_a_cut(p, folder, seconds):
     """The feed's connection ends, and an event that it had not told is told by the next one."""
     a = p.servers[0]
+    await until(lambda: p.feed.asked)  # the stand-in has taken the proxy's connection: its cut ends it
     p.feed.mute = True
     p.feed.add(2, (0xA, a.host, a.port, 1, 0, 0))
     p.feed.mute = False
