Soak: no server is replaced before the old one can be measured

Cause: a cold server is judged by what the one it replaces took in its busiest 1.5 s. It was replaced 0.62 s after the load began, so that this was less than half a window, and what the new one bears was put too low.

Change: a server is replaced 2.5 s after the load began at the earliest. The judge is as it was.

--- a/bench/soak/plan.py
+++ b/bench/soak/plan.py
@@ -3,6 +3,7 @@
 import random
 from typing import NamedTuple
 
+REPLACED_AFTER_S = 2.5  # s before which no server is replaced: the new one is judged by a whole window of the old one
 ENDS_BEFORE_S = 2.0  # s before the load ends in which no fault begins
 
 
@@ -192,7 +193,10 @@
         what = chance.choice(PROXY_FAULTS[4:])
         found.append(Fault(at(), what, chance.uniform(0.5, 5.0), chance.randrange(proxies)))
     for _ in range(chance.randint(2, 6)):
-        found.append(Fault(at(), chance.choice(SERVER_FAULTS), chance.uniform(0.3, 4.0), -1, chance.randrange(servers)))
+        when, what = at(), chance.choice(SERVER_FAULTS)
+        if what == "replace":
+            when = max(when, REPLACED_AFTER_S)
+        found.append(Fault(when, what, chance.uniform(0.3, 4.0), -1, chance.randrange(servers)))
     for _ in range(chance.randint(0, 3)):
         what = chance.choice(LINK_FAULTS)
         found.append(Fault(at(), what, chance.uniform(0.2, 2.5), chance.randrange(proxies), chance.randrange(servers)))
