Review case 3: calls at a restarted server are cut by the list

Cause: an event with a fresh start time ends all calls of the server, also those set up at the new process.

--- a/review/rig.py
+++ b/review/rig.py
@@ -144,18 +144,22 @@
     def __init__(self, record, name, pool, answer_s=0.02, hold_s=0.0):
         self.record, self.name, self.pool, self.answer_s, self.hold_s = record, name, pool, answer_s, hold_s
         self.invites, self.standing, self.cancelled, self.open, self.late = [], {}, set(), [], []
-        self.cut_by_proxy, self.on_invite, self.tasks = [], lambda call: None, set()
-        self.accepted = 0
+        self.on_invite, self.tasks = lambda call: None, set()
+        self.accepted, self.ended, self.cut_at = 0, {}, {}  # when it released a call, and when the proxy did
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self._serve, HOST, port)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
-    def stop_listening(self):
-        """From now on new connections are refused; open ones live on."""
+    async def die(self):
+        """Its process dies: connections are reset, new ones refused, its calls are cut."""
         self.server.close()
-        self.record(self.name, "refuses connections")
+        for task in list(self.tasks):
+            task.cancel()
+        self.reset_connections()
+        self.standing, self.late = {}, []
+        self.record(self.name, "its process has died")
 
     def spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
@@ -219,7 +223,7 @@
         elif method == "BYE":
             self.record(self.name, f"BYE {call} from the proxy")
             self.standing.pop(call, None)
-            self.cut_by_proxy.append(call)
+            self.cut_at.setdefault(call, self.record.now())
             writer.write(self._reply(fields, 200))
         elif method == "OPTIONS":
             writer.write(self._reply(fields, 200))
@@ -242,6 +246,7 @@
         writer = self.standing.pop(call, None)
         if writer is None:
             return
+        self.ended[call] = self.record.now()
         text = (
             f"BYE sip:peer@net SIP/2.0\r\nCall-ID: {call}\r\nCSeq: 9 BYE\r\nReason: Q.850;cause={cause}\r\n"
             "Content-Length: 0\r\n\r\n"
