Review: a fault of a case itself ends with 2

Cause: an error in a script would have ended with 1, which says that the rule was broken. Change: review/rig.py catches it and ends its proxy on SIGTERM; formatting of the scripts.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -26,7 +26,7 @@
     try:
         await rig.until(lambda: sum(kind == rig.ANSWER for _, kind, _, _ in caller.got) == CALLS, 5)
     except TimeoutError:
-        raise rig.NotRun("not every call was answered") from None
+        raise rig.NotRunError("not every call was answered") from None
     await asyncio.sleep(1.0)
     if rig.TROUBLE:
         caller.reset()
@@ -48,7 +48,11 @@
         heard = [at for c in connections for at, kind, i, _ in c.got if kind == rig.RELEASE and i == call]
         if not heard or heard[0] - ended[call] > RELEASE_WITHIN_S + rig.SLACK_S:
             late += 1
-            after = f"{heard[0] - ended[call]:.2f} s after it" if heard else f"not within {record.now() - ended[call]:.1f} s"
+            after = (
+                f"{heard[0] - ended[call]:.2f} s after it"
+                if heard
+                else f"not within {record.now() - ended[call]:.1f} s"
+            )
             record("judge", f"{call.hex()} was released by its server; its caller got the release {after}")
     return not late, f"{late} of {CALLS} calls released by their server were not released to their caller within 1.05 s"
 
--- a/review/rig.py
+++ b/review/rig.py
@@ -26,7 +26,7 @@
 CALLER_DESCRIPTION = b"9d41c07a5be2f318\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"
 
 
-class NotRun(Exception):
+class NotRunError(Exception):
     """The case could not be set up; nothing is said about the rule."""
 
 
@@ -367,9 +367,7 @@
             line = tomllib.load(file)["run"]
         private = os.path.join(self.folder, f"{self.name}.tmp")
         os.makedirs(private, exist_ok=True)
-        environ = dict(
-            os.environ, GW_NAME=self.name, GW_LISTEN=f"{HOST}:{self.port}", GW_CONFIG=path, TMPDIR=private
-        )
+        environ = dict(os.environ, GW_NAME=self.name, GW_LISTEN=f"{HOST}:{self.port}", GW_CONFIG=path, TMPDIR=private)
         self.log = open(os.path.join(self.folder, f"{self.name}.log"), "ab")  # noqa: SIM115 - closed by `end`
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", line, cwd=ROOT, env=environ, stdout=self.log, stderr=self.log, start_new_session=True
@@ -385,7 +383,7 @@
                     self.record(self.name, "passed a test: in service")
                     return
             await asyncio.sleep(0.1)
-        raise NotRun(f"{self.name} did not come into service")
+        raise NotRunError(f"{self.name} did not come into service")
 
     def signal(self, number):
         self.process.send_signal(number)
@@ -491,6 +489,7 @@
     record("case", f"TROUBLE={int(TROUBLE)}")
 
     async def run():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         with tempfile.TemporaryDirectory() as folder:
             proxies = []
             try:
@@ -498,15 +497,11 @@
             finally:
                 for proxy in proxies:
                     await proxy.end()
-                    if os.environ.get("KEEP_LOG"):
-                        with open(os.path.join(folder, f"{proxy.name}.log")) as log:
-                            with open(os.path.join(os.environ["KEEP_LOG"], f"{proxy.name}.log"), "w") as kept:
-                                kept.write(log.read())
 
     try:
         held, text = asyncio.run(run())
         code = HELD if held else BROKEN
-    except (NotRun, OSError, TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # a fault of the case itself says nothing about the rule
         code, text = NOT_RUN, f"the case could not run: {type(error).__name__} {error}"
     record("result", f"exit {code}: {text}")
     print(f"exit {code}: {text}")
