--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -237,7 +237,10 @@
     def _resume_established(self, now, connection, call_id, setup, call_type):
         """Resumes a call established before a restart of this proxy: its caller names the central server. No answer is
         sent."""
-        if call_id in self.calls:
+        held_call = self.calls.get(call_id)
+        if held_call is not None:
+            state = "being set up" if held_call.central is None else "established"
+            self._log_call(held_call, "named while held", connection=connection.key, state=state)
             return
         connection.last_setup_at = now
         self.connections.mark_proven(connection)
--- a/thorndale/platform/releases.py
+++ b/thorndale/platform/releases.py
@@ -130,7 +130,14 @@
         if release.carriers:
             return
         if len(self.waiting) < MAX_WAITING:
-            self.send.log("call", call=release.call.hex(), did="release waits", why="no caller is connected")
+            self.send.log(
+                "call",
+                call=release.call.hex(),
+                did="release waits",
+                why="no usable connection",
+                open=len(self.connections),
+                proven=sum(connection.proven for connection in self.connections.values()),
+            )
             self.waiting.append(release)
         else:
             self.send.log("call", call=release.call.hex(), did="release given up", why="too many releases are waiting")
