Release a call on the connection on which its caller names it again

Cause: Border._resume_established returned for a call that it held before anything was done with the naming: the connection did not count as proven, the call kept the old connection alone, and Releases sent the release on proven connections or the call's own. It waited for the next set-up.

Change: a naming proves its connection; an established call keeps the open connections on which its caller has set it up or named it (four at most, the set-up's stays), and its release goes to each of them, since an older one may be half-open and a newer one a stranger's. Waiting releases are sent as by any set-up.

Evidence: the lines logged since on one real process: named while held, over, release waits with one connection open and none proven.

--- /dev/null
+++ b/tests/node/test_release_paths.py
@@ -0,0 +1,101 @@
+"""Releases of established calls whose caller reaches the proxy by another connection than that of the set-up; real
+processes on loopback. The callers do not answer releases, so that each release counts as told where it was written."""
+
+import asyncio
+
+import pytest
+from test_crossings import close_connection, reset_connection, send_malformed
+from test_node import SETTINGS, call_id, is_released, run_on_platform
+
+from thorndale.platform import isup
+from thorndale.platform.releases import MAX_UNANSWERED
+from thorndale.standins.platform import until
+
+RELEASE_S = 1.05  # from the end of a call to its release, while any caller is connected
+
+
+def name_call(caller, call, server_name):
+    """Names a call as established at a server, as callers do on a new connection."""
+    caller.setup(call, figures=f"dest:0;width:1;via:-1;at:{server_name}".encode())
+
+
+async def establish(p, caller, *numbers):
+    """Sets up calls that their servers hold. Returns {call: server}."""
+    for server in p.servers:
+        server.hold_s = 100
+    calls = [caller.setup(call_id(number)) for number in numbers]
+    await until(lambda: all(caller.kinds(call) == [isup.ANSWER] for call in calls))
+    return {call: server for call in calls for server in p.servers if call.hex() in server.standing}
+
+
+def end_calls(servers_by_call):
+    for call, server in servers_by_call.items():
+        server.end(call.hex(), 16)
+
+
+async def leave_releases_unanswered(p):
+    """Shows the proxy that callers do not answer releases, so that it does not repeat them."""
+    caller = await p.caller()
+    calls = await establish(p, caller, *range(900, 900 + MAX_UNANSWERED))
+    end_calls(calls)
+    await until(lambda: all(is_released(caller, call) for call in calls))
+    await asyncio.sleep(1.2)
+    await caller.close()
+
+
+def stay_connected(caller):
+    pass
+
+
+# Issue 49: a caller whose connection was reset never got the releases of the calls that it named on a new one.
+@pytest.mark.parametrize("leaves", [reset_connection, close_connection, send_malformed, stay_connected])
+def test_calls_named_on_a_new_connection_are_released_there(tmp_path, leaves):
+    async def test(p):
+        await leave_releases_unanswered(p)
+        caller = await p.caller()
+        calls = await establish(p, caller, 1, 2, 3, 4)
+        leaves(caller)
+        await asyncio.sleep(0.2)
+        successor = await p.caller()
+        for call, server in calls.items():
+            name_call(successor, call, server.name)
+        await asyncio.sleep(0.3)
+        end_calls(calls)
+        await until(lambda: all(is_released(successor, call) for call in calls), RELEASE_S)
+        assert all(successor.kinds(call) == [isup.RELEASE] for call in calls)
+
+    run_on_platform(test, tmp_path)
+
+
+# A stranger that names a call must not take its release away from the caller that set it up.
+def test_a_call_named_by_a_stranger_is_still_released_to_the_caller_of_its_set_up(tmp_path):
+    async def test(p):
+        await leave_releases_unanswered(p)
+        caller = await p.caller()
+        calls = await establish(p, caller, 1, 2)
+        for _ in range(6):
+            stranger = await p.caller()
+            for call, server in calls.items():
+                name_call(stranger, call, server.name)
+        assert await stranger.test()
+        end_calls(calls)
+        await until(lambda: all(is_released(caller, call) for call in calls), RELEASE_S)
+
+    run_on_platform(test, tmp_path)
+
+
+# A connection that was closed to make room carries nothing more; the release of its call goes by another one.
+def test_a_call_whose_connection_was_closed_for_room_is_released_on_another(tmp_path):
+    async def test(p):
+        calls = await establish(p, await p.caller(), 1)
+        others = [await p.caller() for _ in range(40)]
+        for number, caller in enumerate(others):
+            caller.setup(call_id(100 + number))
+        await until(lambda: p.callers[1].closed)
+        for server in p.servers:
+            server.hold_s = 0.2
+        end_calls(calls)
+        (call,) = calls
+        await until(lambda: any(is_released(caller, call) for caller in p.callers), RELEASE_S)
+
+    run_on_platform(test, tmp_path, sockets=64, settings=SETTINGS)
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -235,15 +235,14 @@
         self.send.to_caller(connection.key, isup.release(call_id, outcomes.REJECTED))
 
     def _resume_established(self, now, connection, call_id, setup, call_type):
-        """Resumes a call established before a restart of this proxy: its caller names the central server. No answer is
-        sent."""
+        """Resumes a call established before a restart of this proxy, or on another connection: its caller names the
+        central server. No answer is sent."""
+        connection.last_setup_at = now
+        self.connections.mark_proven(connection)
         held_call = self.calls.get(call_id)
         if held_call is not None:
-            state = "being set up" if held_call.central is None else "established"
-            self._log_call(held_call, "named while held", connection=connection.key, state=state)
+            self._named_while_held(now, connection, held_call)
             return
-        connection.last_setup_at = now
-        self.connections.mark_proven(connection)
         self._increment("taken up")
         central = self.centrals.get(setup.established_at)
         early_release = self.early_releases.find(call_id)
@@ -256,17 +255,27 @@
             why = "its server is unknown" if central is None else "its server has ended it"
             fields = {"connection": connection.key, "server": setup.established_at, "why": why}
             self.send.log("call", call=call_id.hex(), did="not taken up", **fields)
-            self.releases.add(now, call_id, outcomes.CUT if early_release is None else early_release.cause, connection)
+            self.releases.add(
+                now, call_id, outcomes.CUT if early_release is None else early_release.cause, (connection,)
+            )
             return
         call = Call(connection, call_id, setup, call_type)
         call.central = central
         self.calls[call_id] = central.established[call_id] = call
-        connection.established.add(call_id)
+        call.add_caller_connection(connection)
         self._log_call(call, "taken up", connection=connection.key, server=central.name)
         if not central.links:
             self._open_link(now, central)
         self.releases.caller_proven(now)
 
+    def _named_while_held(self, now, connection, call):
+        """Handles the naming of a call that this process holds: its release goes to the naming connection too."""
+        state = "being set up" if call.central is None else "established"
+        self._log_call(call, "named while held", connection=connection.key, state=state)
+        if call.central is not None:
+            call.add_caller_connection(connection)
+        self.releases.caller_proven(now)
+
     def _caller_released(self, now, connection, call_id, cause):
         call = connection.setups.get(call_id)
         if call is not None:
@@ -299,6 +308,8 @@
         for call in list(connection.setups.values()):
             self._increment("left by a lost connection")
             self._abandon(now, call, "its connection has ended")
+        for call_id in list(connection.established):
+            self.calls[call_id].remove_caller_connection(connection)
         self.releases.connection_ended(now, connection)
 
     def is_needed(self, key):
@@ -469,7 +480,7 @@
         central.response_times_us.append(response_us)
         accepted = self.send.to_caller(call.connection.key, isup.encode(isup.ANSWER, call.id, (isup.DESCRIPTION, body)))
         call.connection.setups.pop(call.id, None)
-        call.connection.established.add(call.id)
+        call.add_caller_connection(call.connection)
         call.central, call.description = central, b""
         central.established[call.id] = call
         self._log_call(
@@ -522,15 +533,17 @@
 
     def _release_to_caller(self, now, call, cause, report):
         """Ends an established call that its server has released, and queues the release to its caller."""
+        connections = call.caller_connections
         self._end_established(now, call, outcomes.release_outcome(cause), report)
-        self.releases.add(now, call.id, cause or outcomes.CUT, call.connection)
+        self.releases.add(now, call.id, cause or outcomes.CUT, connections)
 
     def _end_established(self, now, call, outcome, report):
         """Removes an established call and reports its end to the module."""
         central = call.central
         self._log_call(call, "over", server=central.name, outcome=outcomes.NAMES[outcome])
         central.established.pop(call.id, None)
-        call.connection.established.discard(call.id)
+        for connection in call.caller_connections:
+            call.remove_caller_connection(connection)
         central.count("completed" if outcome == io.COMPLETED else "cut")
         self._finish_call(call)
         if call.index >= 0:
@@ -547,8 +560,9 @@
         if central.established:
             self.send.log("calls cut", server=central.name, calls=len(central.established), why=why)
         for call in list(central.established.values()):
+            connections = call.caller_connections
             self._end_established(now, call, io.RESET, None)
-            self.releases.add(now, call.id, outcomes.CUT, call.connection)
+            self.releases.add(now, call.id, outcomes.CUT, connections)
 
     # ---- seizures ----
 
--- a/thorndale/platform/calls.py
+++ b/thorndale/platform/calls.py
@@ -1,11 +1,14 @@
 """State of a call and of its seizures at central servers, as the core keeps it; no decisions are made here."""
 
+MAX_CALLER_CONNECTIONS = 4  # per established call; each one gets its release
+
 
 class Call:
     """A call from its set-up to its release. `id` is the id on the wire, `hex_id` the same as hex text. `forwarded`: an
     INVITE was written for it. `index` is the call's number at the module, -1 if the module has none. `central`: the
     server at which it is established, else None. `last_outcome`: of its latest seizure, else -1. `tried_servers`: the
-    central servers at which it had seizures."""
+    central servers at which it had seizures. `caller_connections`: once established, the open connections on which its
+    caller has set it up or named it, oldest first."""
 
     __slots__ = (
         "connection",
@@ -22,6 +25,7 @@
         "finished",
         "forwarded",
         "tried_servers",
+        "caller_connections",
     )
 
     def __init__(self, connection, call_id, setup, call_type):
@@ -34,6 +38,21 @@
         )
         self.description, self.index, self.seizure, self.seizure_count = setup.description, -1, None, 0
         self.central, self.last_outcome, self.finished, self.forwarded, self.tried_servers = None, -1, False, False, ()
+        self.caller_connections = ()
+
+    def add_caller_connection(self, connection):
+        """Records that the caller of the established call has used this connection for it. Beyond the limit, the oldest
+        naming is dropped; the connection of the set-up stays, since whoever names the call may be another caller."""
+        if connection in self.caller_connections:
+            return
+        self.caller_connections += (connection,)
+        connection.established.add(self.id)
+        if len(self.caller_connections) > MAX_CALLER_CONNECTIONS:
+            self.remove_caller_connection(self.caller_connections[1])
+
+    def remove_caller_connection(self, connection):
+        connection.established.discard(self.id)
+        self.caller_connections = tuple(other for other in self.caller_connections if other is not connection)
 
 
 class Seizure:
--- a/thorndale/platform/releases.py
+++ b/thorndale/platform/releases.py
@@ -1,10 +1,12 @@
 """Delivers the releases of ended calls to their callers.
 
-A release is sent on the connection of its call's set-up while that is open, else on the best other one. A connection
-that closes, or whose peer is a different caller, loses it silently, so it is sent again on another connection until a
-caller answers it or its time is over. Answering is optional for callers. They are assumed to answer until several
-releases in a row remain unanswered; after that, a release is sent again only if its connection closes just after it was
-sent. A release that no connection accepts waits for the next caller. No I/O: `send` carries out the socket actions.
+A release is sent on every open connection on which the call was set up or named by its caller: an older one may be
+half-open, and on a later one another caller may have named it. If there is none, it is sent on the best other one. A
+connection that closes, or whose peer is a different caller, loses it silently, so it is sent again on another
+connection until a caller answers it or its time is over. Answering is optional for callers. They are assumed to answer
+until several releases in a row remain unanswered; after that, a release is sent again only if its connection closes
+just after it was sent. A release that no connection accepts waits for the next caller. No I/O: `send` carries out the
+socket actions.
 """
 
 from collections import deque
@@ -20,14 +22,14 @@
 
 
 class Release:
-    """A release that is due to the caller of an ended call. `setup_connection`: the connection of the call's set-up;
+    """A release that is due to the caller of an ended call. `own_connections`: those of the call's set-up and namings;
     `carriers`: keys of the open connections that accepted it; `tried_keys`: keys of all that accepted it;
     `first_sent_at`: when the first one did, `last_sent_at`: the last."""
 
-    __slots__ = ("call", "cause", "setup_connection", "carriers", "tried_keys", "first_sent_at", "last_sent_at")
+    __slots__ = ("call", "cause", "own_connections", "carriers", "tried_keys", "first_sent_at", "last_sent_at")
 
-    def __init__(self, call, cause, setup_connection):
-        self.call, self.cause, self.setup_connection = call, cause, setup_connection
+    def __init__(self, call, cause, own_connections):
+        self.call, self.cause, self.own_connections = call, cause, own_connections
         self.carriers, self.tried_keys, self.first_sent_at, self.last_sent_at = set(), set(), None, None
 
 
@@ -46,11 +48,11 @@
     def __len__(self):
         return len(self.undelivered)
 
-    def add(self, now, call, cause, setup_connection):
-        """Queues the release of an ended call. `setup_connection`: the connection of its set-up, even if closed by
-        now."""
+    def add(self, now, call, cause, own_connections):
+        """Queues the release of an ended call. `own_connections`: those on which its caller has set it up or named
+        it."""
         if call not in self.undelivered:
-            release = self.undelivered[call] = Release(call, cause, setup_connection)
+            release = self.undelivered[call] = Release(call, cause, own_connections)
             self._send(now, release)
 
     def release_answered(self, connection, call):
@@ -93,7 +95,8 @@
             return False
         if self.any_answered:
             return True
-        return self.unanswered_in_row < MAX_UNANSWERED and release.setup_connection.key not in release.carriers
+        has_own_carrier = any(connection.key in release.carriers for connection in release.own_connections)
+        return self.unanswered_in_row < MAX_UNANSWERED and not has_own_carrier
 
     def has_undelivered(self, now):
         """Whether any release is waiting, or is still within the time in which it may be sent again."""
@@ -103,12 +106,11 @@
         )
 
     def _candidates(self, release):
-        """Connections on which it was not sent yet, the best last: its own, then those that have answered releases,
-        then those with open set-ups, then the one with the latest set-up."""
+        """Connections that are not its own and on which it was not sent yet, the best last: those that have answered
+        releases, then those with open set-ups, then the one with the latest set-up."""
 
         def rank(connection):
             return (
-                connection is release.setup_connection,
                 connection.answers_releases,
                 bool(connection.setups),
                 connection.last_setup_at,
@@ -117,12 +119,15 @@
         usable = [
             connection
             for connection in self.connections.values()
-            if (connection.proven or connection is release.setup_connection)
-            and connection.key not in release.tried_keys
+            if connection.proven and connection.key not in release.tried_keys
         ]
         return sorted(usable, key=rank)
 
     def _send(self, now, release):
+        """Sends the release on its own connections, else on the best other one; one that none accepts waits."""
+        untried = [connection for connection in release.own_connections if connection.key not in release.tried_keys]
+        if any([self._send_by(now, release, connection) for connection in untried]):
+            return
         candidates = self._candidates(release)
         while candidates:
             if self._send_by(now, release, candidates.pop()):
@@ -152,7 +157,7 @@
             call=release.call.hex(),
             did="release sent" if accepted else "release not taken",
             connection=connection.key,
-            own=connection is release.setup_connection,
+            own=connection in release.own_connections,
             quiet_ms=(now - connection.last_setup_at) // 1000,
         )
         if not accepted:
