Send waiting releases by whatever proves a caller's connection

What callers saw: a call that ended while no caller was connected was not released to the next caller, unless its first message was a set-up that was served.

Cause: a connection was marked as proven at three places and the waiting releases were sent at two of them, in the middle of the paths: not after a caller's release, a naming whose server is not known, or a set-up refused because the process is ending. A caller's release of the very call whose release waits proved nothing.

Change: one method of the core marks a connection and sends what waits.

Evidence: real processes, the call ended while nobody was connected, the next connection begins with each message in turn.

--- a/tests/node/test_release_paths.py
+++ b/tests/node/test_release_paths.py
@@ -2,6 +2,7 @@
 processes on loopback. The callers do not answer releases, so that each release counts as told where it was written."""
 
 import asyncio
+import signal
 
 import pytest
 from test_crossings import close_connection, reset_connection, send_malformed
@@ -47,6 +48,23 @@
     pass
 
 
+async def disconnect_all(p):
+    """Resets every caller's connection and waits until the proxy has read that."""
+    for caller in p.callers:
+        reset_connection(caller)
+    ended = '"event": "connection", "did": "ended"'
+    await until(lambda: (p.folder / "log").read_text().count(ended) >= len(p.callers))
+
+
+async def call_with_waiting_release(p, number=1):
+    """A call that ended while no caller was connected."""
+    (call, server), *_ = (await establish(p, await p.caller(), number)).items()
+    await disconnect_all(p)
+    server.end(call.hex(), 16)
+    await until(lambda: '"did": "release waits"' in (p.folder / "log").read_text())
+    return call, server
+
+
 # Issue 49: a caller whose connection was reset never got the releases of the calls that it named on a new one.
 @pytest.mark.parametrize("leaves", [reset_connection, close_connection, send_malformed, stay_connected])
 def test_calls_named_on_a_new_connection_are_released_there(tmp_path, leaves):
@@ -84,6 +102,57 @@
     run_on_platform(test, tmp_path)
 
 
+def set_up_another(caller):
+    caller.setup(call_id(50))
+
+
+def name_unknown_call(caller):
+    name_call(caller, call_id(50), "s-00000077")
+
+
+def release_another(caller):
+    caller.writer.write(isup.release(call_id(2), 16))
+
+
+def release_the_ended_call(caller):
+    caller.writer.write(isup.release(call_id(1), 16))
+
+
+# A release waited although a caller was connected: only a served set-up sent the waiting releases.
+@pytest.mark.parametrize(
+    "begins",
+    [set_up_another, name_unknown_call, release_another, release_the_ended_call],
+)
+def test_a_waiting_release_is_sent_on_the_next_connection_whatever_its_caller_sends(tmp_path, begins):
+    async def test(p):
+        first = await p.caller()
+        other = await establish(p, first, 2)
+        call, _ = await call_with_waiting_release(p)
+        assert other
+        caller = await p.caller()
+        begins(caller)
+        await until(lambda: is_released(caller, call), RELEASE_S)
+        assert caller.kinds(call) == [isup.RELEASE]
+
+    run_on_platform(test, tmp_path)
+
+
+# A release that waited was not sent on a connection whose set-up was refused because the process was ending.
+def test_a_waiting_release_is_sent_on_a_connection_whose_set_up_is_refused_at_shutdown(tmp_path):
+    async def test(p):
+        (call, server), *_ = (await establish(p, await p.caller(), 1)).items()
+        p.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(1.0)
+        await disconnect_all(p)
+        server.end(call.hex(), 16)
+        await until(lambda: '"did": "release waits"' in (tmp_path / "log").read_text())
+        caller = await p.caller()
+        refused = caller.setup(call_id(2))
+        await until(lambda: is_released(caller, refused) and is_released(caller, call), RELEASE_S)
+
+    run_on_platform(test, tmp_path)
+
+
 # A connection that was closed to make room carries nothing more; the release of its call goes by another one.
 def test_a_call_whose_connection_was_closed_for_room_is_released_on_another(tmp_path):
     async def test(p):
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -196,7 +196,7 @@
         if call_id in self.calls:
             raise PlatformError("the id belongs to another call", "set-up")
         connection.last_setup_at = now
-        self.connections.mark_proven(connection)
+        self._prove_connection(now, connection)
         within_us = setup.within_us
         if self.shutdown is not None:
             if not self.shutdown.accepts_setups(now):
@@ -227,6 +227,10 @@
                 setup.reattempt,
             )
         )
+
+    def _prove_connection(self, now, connection):
+        """Marks a connection as that of a caller, and sends the releases that wait for one."""
+        self.connections.mark_proven(connection)
         self.releases.caller_proven(now)
 
     def _refuse_at_shutdown(self, connection, call_id):
@@ -238,10 +242,10 @@
         """Resumes a call established before a restart of this proxy, or on another connection: its caller names the
         central server. No answer is sent."""
         connection.last_setup_at = now
-        self.connections.mark_proven(connection)
+        self._prove_connection(now, connection)
         held_call = self.calls.get(call_id)
         if held_call is not None:
-            self._named_while_held(now, connection, held_call)
+            self._named_while_held(connection, held_call)
             return
         self._increment("taken up")
         central = self.centrals.get(setup.established_at)
@@ -266,15 +270,13 @@
         self._log_call(call, "taken up", connection=connection.key, server=central.name)
         if not central.links:
             self._open_link(now, central)
-        self.releases.caller_proven(now)
 
-    def _named_while_held(self, now, connection, call):
+    def _named_while_held(self, connection, call):
         """Handles the naming of a call that this process holds: its release goes to the naming connection too."""
         state = "being set up" if call.central is None else "established"
         self._log_call(call, "named while held", connection=connection.key, state=state)
         if call.central is not None:
             call.add_caller_connection(connection)
-        self.releases.caller_proven(now)
 
     def _caller_released(self, now, connection, call_id, cause):
         call = connection.setups.get(call_id)
@@ -287,9 +289,11 @@
             self._increment("released by callers")
             self._log_call(call, "released by its caller", connection=connection.key, cause=cause)
             central = call.central
-            self.connections.mark_proven(connection)
+            self._prove_connection(now, connection)
             self._send_to_server(now, central, sip.bye(call.hex_id, 2, call.number, cause or outcomes.CLEARED))
             self._end_established(now, call, io.COMPLETED, None)
+        elif call_id in self.releases:
+            self._prove_connection(now, connection)
 
     def _abandon(self, now, call, why):
         """Drops a call that is being set up, whose caller needs no further answer."""
