Release an ended call again when its caller names it as established

What callers saw: a caller that had not read a release (its connection was reset, or it had none) named the call on its new connection, and the call was held as standing without end: no further release, its connection never idle, and a process that was told to end waited for it to the last.

Cause: the core knew ended calls only as releases on their way, and a naming did not ask for those either. A release counts as told 1 s after it was written where callers do not answer; a call named then, or while its release waited, was taken up anew.

Change: EndedCalls (EarlyReleases before) keeps the end of each call for 30 s, 20,000 at most, whoever ended it; a call named at the server of its end gets the release with its cause, and one on its way is sent on the naming connection too.

Evidence: real processes. On the text before three of three cases failed: named while its release waits, and named 0.5 s and 1.5 s after the release was written to a connection that was not read and then reset; each logged 'taken up'. They pass now, with the file's other eleven.

--- a/tests/node/test_release_paths.py
+++ b/tests/node/test_release_paths.py
@@ -102,6 +102,41 @@
     run_on_platform(test, tmp_path)
 
 
+# A call that was named while its release waited was held as standing at its server, without end.
+def test_a_call_named_while_its_release_waits_is_released_and_not_resumed(tmp_path):
+    async def test(p):
+        call, server = await call_with_waiting_release(p)
+        caller = await p.caller()
+        name_call(caller, call, server.name)
+        await until(lambda: is_released(caller, call), RELEASE_S)
+        await caller.test()
+        assert caller.kinds(call) == [isup.RELEASE] and '"did": "taken up"' not in (tmp_path / "log").read_text()
+
+    run_on_platform(test, tmp_path)
+
+
+# A call whose release was lost with its connection was held as standing when its caller named it again.
+@pytest.mark.parametrize("unread_s", [0.5, 1.5])
+def test_a_call_named_after_its_release_was_lost_unread_is_released(tmp_path, unread_s):
+    async def test(p):
+        await leave_releases_unanswered(p)
+        caller = await p.caller()
+        ((call, server),) = (await establish(p, caller, 1)).items()
+        caller.writer.transport.pause_reading()
+        server.end(call.hex(), 16)
+        await asyncio.sleep(unread_s)
+        assert caller.kinds(call) == [isup.ANSWER]
+        reset_connection(caller)
+        await asyncio.sleep(0.2)
+        successor = await p.caller()
+        name_call(successor, call, server.name)
+        await until(lambda: is_released(successor, call), RELEASE_S)
+        await successor.test()
+        assert '"did": "taken up"' not in (tmp_path / "log").read_text()
+
+    run_on_platform(test, tmp_path)
+
+
 def set_up_another(caller):
     caller.setup(call_id(50))
 
--- a/tests/platform/test_platform_border.py
+++ b/tests/platform/test_platform_border.py
@@ -420,7 +420,7 @@
     assert rig.received_by["c"] == [(isup.RELEASE, call, {isup.CAUSE: b"\x10"})] and not rig.core.established_calls()
     rig.advance(31 * S)
     rig.bye(key, (78).to_bytes(8, "big"))
-    assert list(rig.core.early_releases.by_call) == [(78).to_bytes(8, "big")]
+    assert list(rig.core.ended_calls.by_call) == [(78).to_bytes(8, "big")]
 
 
 # Prevents treating a call as established whose server died before its caller reported the call.
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -18,7 +18,7 @@
 from thorndale.platform.callers import CallerConnections
 from thorndale.platform.calls import Call, Seizure
 from thorndale.platform.description import is_description
-from thorndale.platform.early import EarlyReleases
+from thorndale.platform.ended_calls import EndedCalls
 from thorndale.platform.errors import PlatformError
 from thorndale.platform.feed import replay
 from thorndale.platform.links import CentralServer, Link
@@ -58,7 +58,7 @@
         self.calls, self.links = {}, {}  # calls by id, being set up or established; links by key
         self.centrals, self.by_index, self.next_index = {}, {}, 0
         self.releases, self.finished_calls = Releases(self.connections, send, self._increment), []
-        self.early_releases = EarlyReleases()
+        self.ended_calls = EndedCalls()
         self.shutdown, self.probes_sent = None, 0  # shutdown: the plan, once the process has to end
         self.call_types = {call_type.index: call_type for call_type in config.call_types.values()}
         self.count = {}
@@ -249,19 +249,13 @@
             return
         self._increment("taken up")
         central = self.centrals.get(setup.established_at)
-        early_release = self.early_releases.find(call_id)
-        if (
-            central is None
-            or central.proved_dead
-            or early_release is not None
-            and early_release.server == setup.established_at
-        ):
+        ended = self.ended_calls.find(call_id)
+        has_ended = ended is not None and ended.server == setup.established_at
+        if central is None or central.proved_dead or has_ended:
             why = "its server is unknown" if central is None else "its server has ended it"
             fields = {"connection": connection.key, "server": setup.established_at, "why": why}
             self.send.log("call", call=call_id.hex(), did="not taken up", **fields)
-            self.releases.add(
-                now, call_id, outcomes.CUT if early_release is None else early_release.cause, (connection,)
-            )
+            self.releases.add(now, call_id, ended.cause if has_ended else outcomes.CUT, (connection,))
             return
         call = Call(connection, call_id, setup, call_type)
         call.central = central
@@ -291,7 +285,7 @@
             central = call.central
             self._prove_connection(now, connection)
             self._send_to_server(now, central, sip.bye(call.hex_id, 2, call.number, cause or outcomes.CLEARED))
-            self._end_established(now, call, io.COMPLETED, None)
+            self._end_established(now, call, io.COMPLETED, None, outcomes.CLEARED)
         elif call_id in self.releases:
             self._prove_connection(now, connection)
 
@@ -500,7 +494,7 @@
             self._release_to_caller(now, call, seizure.early_cause, None)
         elif not accepted:  # its caller's connection is closing, so the call has no caller
             self.send.to_server(seizure.link.key, sip.bye(call.hex_id, 2, call.number, outcomes.CLEARED))
-            self._end_established(now, call, io.COMPLETED, None)
+            self._end_established(now, call, io.COMPLETED, None, outcomes.CLEARED)
 
     def _server_released(self, now, link, signal):
         central = link.central
@@ -515,7 +509,8 @@
             self.send.log(
                 "call", call=signal.call, did="release of nothing open", server=central.name, cause=signal.cause
             )
-            self.early_releases.record(now, call_id, central.name, signal.cause or outcomes.CUT)
+            if self.ended_calls.find(call_id) is None:
+                self.ended_calls.record(now, call_id, central.name, signal.cause or outcomes.CUT)
             return
         report = sip.report(signal.report, self.config.fields) if signal.report else None
         seizure = call.seizure
@@ -538,14 +533,16 @@
     def _release_to_caller(self, now, call, cause, report):
         """Ends an established call that its server has released, and queues the release to its caller."""
         connections = call.caller_connections
-        self._end_established(now, call, outcomes.release_outcome(cause), report)
+        self._end_established(now, call, outcomes.release_outcome(cause), report, cause or outcomes.CUT)
         self.releases.add(now, call.id, cause or outcomes.CUT, connections)
 
-    def _end_established(self, now, call, outcome, report):
-        """Removes an established call and reports its end to the module."""
+    def _end_established(self, now, call, outcome, report, cause):
+        """Removes an established call and reports its end to the module. `cause`: the one told to its caller, now and
+        if the call is named again."""
         central = call.central
         self._log_call(call, "over", server=central.name, outcome=outcomes.NAMES[outcome])
         central.established.pop(call.id, None)
+        self.ended_calls.record(now, call.id, central.name, cause)
         for connection in call.caller_connections:
             call.remove_caller_connection(connection)
         central.count("completed" if outcome == io.COMPLETED else "cut")
@@ -565,7 +562,7 @@
             self.send.log("calls cut", server=central.name, calls=len(central.established), why=why)
         for call in list(central.established.values()):
             connections = call.caller_connections
-            self._end_established(now, call, io.RESET, None)
+            self._end_established(now, call, io.RESET, None, outcomes.CUT)
             self.releases.add(now, call.id, outcomes.CUT, connections)
 
     # ---- seizures ----
--- a/thorndale/platform/releases.py
+++ b/thorndale/platform/releases.py
@@ -49,11 +49,15 @@
         return len(self.undelivered)
 
     def add(self, now, call, cause, own_connections):
-        """Queues the release of an ended call. `own_connections`: those on which its caller has set it up or named
-        it."""
-        if call not in self.undelivered:
+        """Queues the release of an ended call. `own_connections`: those on which its caller has set it up or named it;
+        one that is undelivered already is sent on these too."""
+        release = self.undelivered.get(call)
+        if release is None:
             release = self.undelivered[call] = Release(call, cause, own_connections)
             self._send(now, release)
+            return
+        release.own_connections += own_connections
+        self._send_by_own(now, release)
 
     def release_answered(self, connection, call):
         """Handles a caller's answer to a release; ignored on a connection on which the release was not sent."""
@@ -125,8 +129,7 @@
 
     def _send(self, now, release):
         """Sends the release on its own connections, else on the best other one; one that none accepts waits."""
-        untried = [connection for connection in release.own_connections if connection.key not in release.tried_keys]
-        if any([self._send_by(now, release, connection) for connection in untried]):
+        if self._send_by_own(now, release):
             return
         candidates = self._candidates(release)
         while candidates:
@@ -149,6 +152,11 @@
             self.note("releases given up")
             self._forget(release)
 
+    def _send_by_own(self, now, release):
+        """Sends the release on each of its own connections that has not carried it; returns whether any accepted it."""
+        untried = [connection for connection in release.own_connections if connection.key not in release.tried_keys]
+        return any([self._send_by(now, release, connection) for connection in untried])
+
     def _send_by(self, now, release, connection):
         """Sends the release on this connection; returns whether the connection accepted it."""
         accepted = self.send.to_caller(connection.key, isup.release(release.call, release.cause))
