Give a release that waited its full time on the next connection

What callers saw: a release whose connection ended unread waited for the next caller and was sent there; if that connection ended too, within a fraction of a second, nobody got it.

Cause: Release.first_sent_at was of the first connection. 1 s after that the release counted as told at the next check, 50 ms after it was sent anew, and the end of the connection found nothing owed.

Change: a release that waits begins anew; a process that ends holds it for undelivered again.

Evidence: real process, two connections reset unread 1.5 s apart.

--- a/tests/node/test_release_paths.py
+++ b/tests/node/test_release_paths.py
@@ -188,6 +188,28 @@
     run_on_platform(test, tmp_path)
 
 
+# A release that waited was forgotten 50 ms after it was sent, and was lost if that connection ended too.
+def test_a_release_that_waited_is_sent_again_when_its_next_connection_ends_unread(tmp_path):
+    async def test(p):
+        caller = await p.caller()
+        ((call, server),) = (await establish(p, caller, 1)).items()
+        caller.writer.transport.pause_reading()
+        server.end(call.hex(), 16)
+        await asyncio.sleep(0.1)
+        reset_connection(caller)
+        await asyncio.sleep(1.5)
+        unread = await p.caller()
+        unread.writer.transport.pause_reading()
+        unread.setup(call_id(50))
+        await asyncio.sleep(0.2)
+        reset_connection(unread)
+        last = await p.caller()
+        last.setup(call_id(51))
+        await until(lambda: is_released(last, call), RELEASE_S)
+
+    run_on_platform(test, tmp_path)
+
+
 # A connection that was closed to make room carries nothing more; the release of its call goes by another one.
 def test_a_call_whose_connection_was_closed_for_room_is_released_on_another(tmp_path):
     async def test(p):
--- a/thorndale/platform/releases.py
+++ b/thorndale/platform/releases.py
@@ -24,7 +24,7 @@
 class Release:
     """A release that is due to the caller of an ended call. `own_connections`: those of the call's set-up and namings;
     `carriers`: keys of the open connections that accepted it; `tried_keys`: keys of all that accepted it;
-    `first_sent_at`: when the first one did, `last_sent_at`: the last."""
+    `first_sent_at`: when it was first sent since it last waited, else None; `last_sent_at`: when it was last sent."""
 
     __slots__ = ("call", "cause", "own_connections", "carriers", "tried_keys", "first_sent_at", "last_sent_at")
 
@@ -137,6 +137,7 @@
                 return
         if release.carriers:
             return
+        release.first_sent_at = None
         if len(self.waiting) < MAX_WAITING:
             self.send.log(
                 "call",
@@ -173,12 +174,12 @@
         self.connections.touch(connection, now)
         connection.unanswered_releases.add(release.call)
         release.carriers.add(connection.key)
+        if release.tried_keys:
+            self.note("releases sent again")
         release.tried_keys.add(connection.key)
         release.last_sent_at = now
         if release.first_sent_at is None:
             release.first_sent_at = now
-        else:
-            self.note("releases sent again")
         return True
 
     def _forget(self, release):
