Offer waiting releases on connections that have sent no set-up yet

What callers saw: a call that ended while nobody was connected was not released to a caller that came back and only tested its connection, or sent nothing at all. The protocol lets the end of a call be sent on any connection from callers and asks for it within 8 s.

Cause: only a set-up, a naming or a release made a connection usable for releases.

Change: a release that waits is written also to unproven connections that are at least 0.25 s old, since a health check must read its own answer first; to eight at most, and it goes on waiting for a caller, since a prober reads it and says nothing. Where such a connection proves to be a caller's, the release counts as sent and is not repeated there.

In virtual time: 8 offers among 100 silent connections; nothing in the first 0.25 s. The case of a prober that reads the release before the caller names the call held before and holds.

--- a/tests/node/test_release_paths.py
+++ b/tests/node/test_release_paths.py
@@ -149,6 +149,13 @@
     caller.writer.write(isup.release(call_id(2), 16))
 
 
+def test_connection(caller):
+    caller.writer.write(isup.encode(isup.TEST, bytes(8), (isup.CAUSE, b"\0")))
+
+
+test_connection.__test__ = False
+
+
 def release_the_ended_call(caller):
     caller.writer.write(isup.release(call_id(1), 16))
 
@@ -156,7 +163,7 @@
 # A release waited although a caller was connected: only a served set-up sent the waiting releases.
 @pytest.mark.parametrize(
     "begins",
-    [set_up_another, name_unknown_call, release_another, release_the_ended_call],
+    [set_up_another, name_unknown_call, release_another, release_the_ended_call, test_connection, stay_connected],
 )
 def test_a_waiting_release_is_sent_on_the_next_connection_whatever_its_caller_sends(tmp_path, begins):
     async def test(p):
@@ -188,6 +195,19 @@
     run_on_platform(test, tmp_path)
 
 
+# A release waited behind a connection that is no caller's; a caller that came later must still get it.
+def test_a_release_written_to_an_unknown_connection_still_reaches_its_caller(tmp_path):
+    async def test(p):
+        call, server = await call_with_waiting_release(p)
+        stranger = await p.caller()
+        assert await stranger.test()
+        caller = await p.caller()
+        name_call(caller, call, server.name)
+        await until(lambda: is_released(caller, call), RELEASE_S)
+
+    run_on_platform(test, tmp_path)
+
+
 # A release that waited was forgotten 50 ms after it was sent, and was lost if that connection ended too.
 def test_a_release_that_waited_is_sent_again_when_its_next_connection_ends_unread(tmp_path):
     async def test(p):
--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -6,6 +6,7 @@
 from thorndale import interface as io
 from thorndale.platform import isup
 from thorndale.platform.links import MAX_LINKS
+from thorndale.platform.releases import MAX_OFFERS, OFFER_AGE_US
 
 A, B = "127.0.1.1", "127.0.1.2"
 
@@ -248,3 +249,41 @@
     rig.release(call, "d")
     rig.bye(key, second)
     assert releases(rig, second) == ["d"]
+
+
+# Peers that open connections by the hundred must not multiply the writes of a waiting release.
+def test_a_waiting_release_is_offered_on_a_bounded_number_of_unproven_connections():
+    rig = Rig()
+    rig.open_dialled()
+    key, call = established_call(rig)
+    rig.deliver("caller_lost", "c")
+    for number in range(50):
+        rig.caller(number)
+    rig.advance(500 * MS)
+    rig.bye(key, call)
+    for number in range(50, 100):
+        rig.caller(number)
+        rig.advance(100 * MS)
+    offered = releases(rig, call)
+    assert len(offered) == len(set(offered)) == MAX_OFFERS
+    rig.caller("d")
+    rig.setup("d")
+    assert releases(rig, call) == [*offered, "d"]
+    rig.advance(2 * S)
+    assert not rig.core.releases.undelivered and not rig.core.releases.waiting
+
+
+def test_a_release_is_not_offered_during_a_health_check_and_not_repeated_on_a_connection_that_becomes_proven():
+    rig = Rig()
+    rig.open_dialled()
+    key, call = established_call(rig)
+    rig.deliver("caller_lost", "c")
+    rig.bye(key, call)
+    rig.caller("d")
+    rig.advance(OFFER_AGE_US - 60 * MS)
+    assert not releases(rig, call)
+    rig.advance(120 * MS)
+    assert releases(rig, call) == ["d"] and rig.core.releases.waiting
+    rig.setup("d")
+    rig.advance(2 * S)
+    assert releases(rig, call) == ["d"] and not rig.core.releases.undelivered and not rig.core.releases.waiting
--- a/thorndale/platform/callers.py
+++ b/thorndale/platform/callers.py
@@ -5,12 +5,14 @@
 finding the next candidate takes the same time for any number of connections.
 """
 
+import itertools
+
 
 class CallerConnection:
     """`setups` is {id: Call} of set-ups without a final answer; `established`: ids of the established calls that were
     set up on it; `unanswered_releases`: call ids of the releases sent on it without an answer. `proven`: a usable
-    set-up or a caller's release arrived on it; `answers_releases`: a release sent on it was answered. Times are whole
-    microseconds."""
+    set-up or a caller's release arrived on it; `answers_releases`: a release sent on it was answered. `has_offers`:
+    the waiting releases were offered on it. Times are whole microseconds."""
 
     __slots__ = (
         "key",
@@ -19,6 +21,8 @@
         "unanswered_releases",
         "proven",
         "answers_releases",
+        "has_offers",
+        "opened_at",
         "last_used_at",
         "last_setup_at",
     )
@@ -26,7 +30,8 @@
     def __init__(self, key, now):
         self.key, self.setups, self.proven, self.answers_releases = key, {}, False, False
         self.established, self.unanswered_releases = set(), set()
-        self.last_used_at, self.last_setup_at = now, now
+        self.has_offers = False
+        self.opened_at, self.last_used_at, self.last_setup_at = now, now, now
 
     def is_needed(self):
         """Whether an answer or a release is due on it, now or at the end of a call."""
@@ -55,6 +60,11 @@
         yield from self._unproven.values()
         yield from self._proven.values()
 
+    def latest_unproven(self, count, opened_until):
+        """Up to `count` unproven connections that were opened by then, the latest used first."""
+        old_enough = (c for c in reversed(self._unproven.values()) if c.opened_at <= opened_until)
+        return list(itertools.islice(old_enough, count))
+
     def add(self, key, now):
         self._unproven[key] = CallerConnection(key, now)
 
--- a/thorndale/platform/releases.py
+++ b/thorndale/platform/releases.py
@@ -5,8 +5,9 @@
 connection that closes, or whose peer is a different caller, loses it silently, so it is sent again on another
 connection until a caller answers it or its time is over. Answering is optional for callers. They are assumed to answer
 until several releases in a row remain unanswered; after that, a release is sent again only if its connection closes
-just after it was sent. A release that no connection accepts waits for the next caller. No I/O: `send` carries out the
-socket actions.
+just after it was sent. A release that no such connection accepts waits for the next caller. Meanwhile it is offered on
+unproven connections, whose peers may be callers that have not sent a set-up yet. No I/O: `send` carries out the socket
+actions.
 """
 
 from collections import deque
@@ -18,19 +19,32 @@
 RESEND_US = 250_000  # a caller that answers releases has answered by then; allows four attempts within DELIVERY_US
 CLOSE_CROSSING_US = 50_000  # a caller's close may cross a message this long after it is sent, as the protocol states
 MAX_DELIVERY_US = 8_000_000  # limit of the protocol for a release that could not be delivered before
+MAX_OFFERS = 8  # unproven connections on which a waiting release is offered: peers may open them by the hundred
+OFFER_AGE_US = 250_000  # age of an unproven connection from which releases are offered: a health check is over by then
 MAX_UNANSWERED = 8  # releases in a row without an answer after which callers count as not answering
 
 
 class Release:
     """A release that is due to the caller of an ended call. `own_connections`: those of the call's set-up and namings;
     `carriers`: keys of the open connections that accepted it; `tried_keys`: keys of all that accepted it;
-    `first_sent_at`: when it was first sent since it last waited, else None; `last_sent_at`: when it was last sent."""
-
-    __slots__ = ("call", "cause", "own_connections", "carriers", "tried_keys", "first_sent_at", "last_sent_at")
+    `offered_keys`: those on which it was offered while unproven. `first_sent_at`: when it was first sent since the last
+    time that it waited, else None; `last_sent_at`: when it was last sent."""
+
+    __slots__ = (
+        "call",
+        "cause",
+        "own_connections",
+        "carriers",
+        "tried_keys",
+        "offered_keys",
+        "first_sent_at",
+        "last_sent_at",
+    )
 
     def __init__(self, call, cause, own_connections):
         self.call, self.cause, self.own_connections = call, cause, own_connections
-        self.carriers, self.tried_keys, self.first_sent_at, self.last_sent_at = set(), set(), None, None
+        self.carriers, self.tried_keys, self.offered_keys = set(), set(), set()
+        self.first_sent_at, self.last_sent_at = None, None
 
 
 class Releases:
@@ -86,7 +100,9 @@
         return DELIVERY_US if self.unanswered_in_row < MAX_UNANSWERED else CLOSE_CROSSING_US
 
     def maintain(self, now):
-        """Repeats and expires releases; to be called several times within `RESEND_US`."""
+        """Repeats, offers and expires releases; to be called several times within `RESEND_US`."""
+        if self.waiting:
+            self._offer_waiting(now)
         for release in [release for release in self.undelivered.values() if release.carriers]:
             if now - release.first_sent_at >= max(DELIVERY_US, self._loss_window_us()):
                 self.unanswered_in_row += 1
@@ -94,6 +110,20 @@
             elif self._is_resend_due(now, release):
                 self._send(now, release)
 
+    def _offer_waiting(self, now):
+        """Offers the waiting releases on the unproven connections that have become old enough."""
+        for connection in self.connections.latest_unproven(MAX_OFFERS, now - OFFER_AGE_US):
+            if not connection.has_offers:
+                connection.has_offers = True
+                for release in self.waiting:
+                    self._offer(now, release, connection)
+
+    def _offer(self, now, release, connection):
+        """Writes a waiting release to an unproven connection. It goes on waiting, since this may not be a caller's."""
+        if len(release.offered_keys) < MAX_OFFERS and connection.key not in release.offered_keys:
+            release.offered_keys.add(connection.key)
+            self._write(now, release, connection, "release offered")
+
     def _is_resend_due(self, now, release):
         if now - release.last_sent_at < RESEND_US or now - release.first_sent_at >= DELIVERY_US:
             return False
@@ -148,6 +178,8 @@
                 proven=sum(connection.proven for connection in self.connections.values()),
             )
             self.waiting.append(release)
+            for connection in self.connections.latest_unproven(MAX_OFFERS, now - OFFER_AGE_US):
+                self._offer(now, release, connection)
         else:
             self.send.log("call", call=release.call.hex(), did="release given up", why="too many releases are waiting")
             self.note("releases given up")
@@ -159,17 +191,9 @@
         return any([self._send_by(now, release, connection) for connection in untried])
 
     def _send_by(self, now, release, connection):
-        """Sends the release on this connection; returns whether the connection accepted it."""
-        accepted = self.send.to_caller(connection.key, isup.release(release.call, release.cause))
-        self.send.log(
-            "call",
-            call=release.call.hex(),
-            did="release sent" if accepted else "release not taken",
-            connection=connection.key,
-            own=connection in release.own_connections,
-            quiet_ms=(now - connection.last_setup_at) // 1000,
-        )
-        if not accepted:
+        """Sends the release on this connection, unless it was offered there; returns whether the connection accepted
+        it."""
+        if connection.key not in release.offered_keys and not self._write(now, release, connection, "release sent"):
             return False
         self.connections.touch(connection, now)
         connection.unanswered_releases.add(release.call)
@@ -182,6 +206,18 @@
             release.first_sent_at = now
         return True
 
+    def _write(self, now, release, connection, did):
+        accepted = self.send.to_caller(connection.key, isup.release(release.call, release.cause))
+        self.send.log(
+            "call",
+            call=release.call.hex(),
+            did=did if accepted else "release not taken",
+            connection=connection.key,
+            own=connection in release.own_connections,
+            quiet_ms=(now - connection.last_setup_at) // 1000,
+        )
+        return accepted
+
     def _forget(self, release):
         del self.undelivered[release.call]
         for key in release.carriers:
