Bind the late server of the tests to ports with connections in TIME_WAIT

Cause: nobody listened there. reserve_port checks a port with SO_REUSEADDR, as every listener of the project sets it; LateServer bound its socket without it, and that fails while a connection of the port's last owner is in TIME_WAIT (60 s). A block of ports goes to the next process as its owner ends. Traced: tests/node/test_node.py, then the five cases at once in a new process: 2, 2 and 3 of 5 failed in three rounds of three, with up to 306 connections in TIME_WAIT at ports of that block.

Change: socket.create_server, which sets the option; so does the taken listener of test_node.

Measured: the new test failed with the old socket and passes.

--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -236,9 +236,7 @@
     """A central server whose connections come up late: its accept queue is full until `come_up`."""
 
     def __init__(self):
-        self.sock = socket.socket()
-        self.sock.bind(("127.0.0.1", reserve_port()))
-        self.sock.listen(0)
+        self.sock = socket.create_server(("127.0.0.1", reserve_port()), backlog=0)
         self.name, (self.host, self.port) = "s-0000000c", self.sock.getsockname()
         self.queue_fillers = [socket.socket() for _ in range(4)]
         for peer in self.queue_fillers:
@@ -262,10 +260,30 @@
                 with contextlib.suppress(OSError):
                     received += peer.recv(65536)
             await asyncio.sleep(0.01)
-        for peer in (*connections, self.sock):
+        for peer in connections:
             peer.close()
+        self.close()
         return received
 
+    def close(self):
+        for peer in (*self.queue_fillers, self.sock):
+            peer.close()
+
+
+# The stand-in failed to start where an earlier process had used its port and closed the connections (Errno 98).
+def test_a_late_server_starts_on_a_port_with_connections_in_time_wait(monkeypatch):
+    port = reserve_port()
+    with socket.create_server(("127.0.0.1", port)) as listener:
+        caller = socket.create_connection(("127.0.0.1", port))
+        accepted, _ = listener.accept()
+        accepted.close()  # the side that closes first keeps the connection in TIME_WAIT
+        assert caller.recv(1) == b""
+        caller.close()
+    monkeypatch.setattr("test_crossings.reserve_port", lambda: port)
+    late = LateServer()
+    assert late.port == port
+    late.close()
+
 
 @pytest.mark.parametrize("change", ["caller closes", "caller takes back", "draining", "gone", "nothing"])
 def test_a_connection_that_comes_up_late_carries_only_what_is_still_wanted(tmp_path, change):
--- a/tests/node/test_node.py
+++ b/tests/node/test_node.py
@@ -336,9 +336,7 @@
     class AbsentPeer:
         host, port, name = "127.0.0.1", 9, "s-0000000a"
 
-    taken = socket.socket()
-    taken.bind(("127.0.0.1", reserve_port()))
-    taken.listen()
+    taken = socket.create_server(("127.0.0.1", reserve_port()))
     address = f"127.0.0.1:{taken.getsockname()[1]}"
     path = tmp_path / "config.json"
     config = json.loads(configuration(address, AbsentPeer, [AbsentPeer], SETTINGS))
--- a/thorndale/standins/ports.py
+++ b/thorndale/standins/ports.py
@@ -51,7 +51,10 @@
 
 
 def reserve_port(host="127.0.0.1"):
-    """Reserves a port for UDP and TCP until this process ends. Raises NoPortsError."""
+    """Reserves a port for UDP and TCP until this process ends. Raises NoPortsError.
+
+    Connections of an earlier owner may still be in TIME_WAIT, so a listener needs SO_REUSEADDR, which
+    `socket.create_server` and asyncio's servers set."""
     for port in _ports:
         if _can_be_bound(host, port):
             return port
