Ask for a lost release again when the next connection does not come up

What callers saw: a call whose server wrote its release to a connection that was lost was never released, as long as another connection to that server stayed open and the one opened in its place did not come up.

Cause: CentralServer.needs_replacement was taken back when a connection was dialled, not when it was up. The server repeats a release on the next connection that is opened; a dial that is dropped or refused is none, and while another connection is open no further one was dialled.

Change: replacement_needed_since holds from the loss until a connection opened after it is up; while one is being opened no further one is, and the pauses between attempts are as before.

Evidence: a real proxy with several connections to a stand-in, the call's own one reset with the release in it, connection requests dropped or refused for 1.2 s.

--- a/tests/node/test_many.py
+++ b/tests/node/test_many.py
@@ -49,10 +49,7 @@
 
     def _repeat_release(self, call, cause, writer):
         if writer not in self.open:
-            self.repeated_releases.append(
-                f"BYE sip:peer@net SIP/2.0\r\nCall-ID: {call}\r\nCSeq: 9 BYE\r\nReason: Q.850;cause="
-                f"{cause}\r\nContent-Length: 0\r\n\r\n".encode()
-            )
+            self.repeated_releases.append(self.release_message(call, cause))
 
     def _take(self, m, writer):
         if m.method == "INVITE":
--- a/tests/node/test_release_paths.py
+++ b/tests/node/test_release_paths.py
@@ -3,16 +3,19 @@
 
 import asyncio
 import signal
+import time
 
 import pytest
 from test_crossings import close_connection, reset_connection, send_malformed
 from test_node import SETTINGS, call_id, is_released, run_on_platform
 
+from bench.soak.servers import FullQueue
 from thorndale.platform import isup
 from thorndale.platform.releases import MAX_UNANSWERED
 from thorndale.standins.platform import until
 
 RELEASE_S = 1.05  # from the end of a call to its release, while any caller is connected
+UNDELIVERED_S = 8.05  # the same if no release could be sent
 
 
 def name_call(caller, call, server_name):
@@ -245,3 +248,48 @@
         await until(lambda: any(is_released(caller, call) for caller in p.callers), RELEASE_S)
 
     run_on_platform(test, tmp_path, sockets=64, settings=SETTINGS)
+
+
+class Unreachable:
+    """Takes the place of a server's listener: drops connection requests, or refuses them."""
+
+    def __init__(self, server, refuses):
+        self.server = server
+        server.server.close()
+        self.full_queue = None if refuses else FullQueue(server.port)
+
+    async def end(self):
+        if self.full_queue is not None:
+            self.full_queue.close()
+        self.server.server = await asyncio.start_server(self.server._on_connection, self.server.host, self.server.port)
+
+
+async def establish_on_two_connections(p, caller):
+    """Sets up calls at one server until one stands on a connection that is not its oldest. Returns (call, server)."""
+    server = p.servers[0]
+    server.answer_s, server.hold_s = 0.2, 100
+    for number in range(1, 20, 4):
+        calls = [caller.setup(call_id(number + n)) for n in range(4)]
+        await until(lambda calls=calls: all(caller.kinds(call) == [isup.ANSWER] for call in calls))
+        connections = {call: server.standing[call.hex()] for call in calls if call.hex() in server.standing}
+        if len(set(connections.values())) > 1:
+            return next(reversed(connections)), server
+    raise AssertionError("all calls stand on one connection")
+
+
+# A release that was lost with its connection was never asked for again when the next connection did not come up.
+@pytest.mark.parametrize("refuses", [False, True])
+def test_a_release_lost_with_its_connection_comes_although_the_next_one_does_not_come_up(tmp_path, refuses):
+    async def test(p):
+        caller = await p.caller()
+        call, server = await establish_on_two_connections(p, caller)
+        unreachable = Unreachable(server, refuses)
+        server.unsent.append(server.release_message(call.hex(), 16))
+        server.standing.pop(call.hex()).transport.abort()
+        ended = time.monotonic()
+        await asyncio.sleep(1.2)  # longer than the time for a connection to come up
+        assert len(server.open) > 0, "another connection stays open"
+        await unreachable.end()
+        await until(lambda: is_released(caller, call), UNDELIVERED_S - (time.monotonic() - ended))
+
+    run_on_platform(test, tmp_path)
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -328,7 +328,6 @@
         key = self.send.connect(central.host, central.port)
         link = self.links[key] = Link(key, central, now)
         central.links.append(link)
-        central.needs_replacement = False
         central.count("connections")
         return link
 
@@ -414,7 +413,7 @@
             self._server_gone(now, central)
         elif (central.established or central.unsent) and kind in ("lost", "spoilt"):
             # The server repeats a release that was lost with the old connection on the next one that opens.
-            central.needs_replacement = True
+            central.replacement_needed_since = now
             if is_first:
                 self._open_link(now, central)
 
--- a/thorndale/platform/links.py
+++ b/thorndale/platform/links.py
@@ -57,7 +57,9 @@
     """A central server as this proxy observes it. `established` is {call id: Call}, `started_us` 0 without a late
     start. `event_counts` counts socket events, to be compared in the log with the module's estimates. `unsent`:
     messages about established calls that go out on the next connection that opens. `proved_dead`: the server was proved
-    dead since this process has known it, so any call that a caller reports as established there has ended."""
+    dead since this process has known it, so any call that a caller reports as established there has ended.
+    `replacement_needed_since`: when a connection was lost that may have carried a release, until one opened after that
+    is up and the server can repeat the release, else None."""
 
     __slots__ = (
         "unsent",
@@ -75,7 +77,7 @@
         "last_lost_at",
         "next_connect_at",
         "failures",
-        "needs_replacement",
+        "replacement_needed_since",
         "event_counts",
         "response_times_us",
     )
@@ -85,7 +87,7 @@
         self.host, self.port, self.pool, self.state, self.started_us = "", 0, -1, -1, 0
         self.links, self.established, self.unreachable_since = [], {}, 0
         self.next_connect_at, self.failures, self.last_lost_at = 0, 0, -1
-        self.needs_replacement = False
+        self.replacement_needed_since = None
         self.event_counts, self.response_times_us, self.unsent, self.proved_dead = {}, [], [], False
 
     def count(self, what):
@@ -128,6 +130,8 @@
     def connection_opened(self, link, now):
         link.is_open, link.last_received_at = True, now
         self.unreachable_since = 0
+        if self._is_replacement(link):
+            self.replacement_needed_since = None
 
     def message_received(self, link, now):
         link.last_received_at, link.probe_sent_at, link.in_message = now, 0, False
@@ -147,9 +151,18 @@
             self.unreachable_since = now
         return is_new_failure and self.failures == 1
 
+    def _is_replacement(self, link):
+        """Whether a connection was opened after the loss for which one is needed."""
+        return self.replacement_needed_since is not None and link.created_at >= self.replacement_needed_since
+
     def needs_connection(self, now):
-        """Whether to open a connection now: there is none, or a release may have been lost with an earlier one."""
-        return (not self.links or self.needs_replacement) and self.state != io.GONE and now >= self.next_connect_at
+        """Whether to open a connection now: there is none, or a release may have been lost with an earlier one and none
+        is being opened since."""
+        if self.state == io.GONE or now < self.next_connect_at:
+            return False
+        if not self.links:
+            return True
+        return self.replacement_needed_since is not None and not any(self._is_replacement(link) for link in self.links)
 
     def links_after_loss(self):
         """Connections opened after another one was lost: the server may have ended then and another have its
--- a/thorndale/standins/platform.py
+++ b/thorndale/standins/platform.py
@@ -153,15 +153,18 @@
     def description(self, call):
         return call.encode() + b"\r\nc=IN IP4 10.9.9.9\r\nm=audio 40000 RTP/AVP 0\r\n"
 
+    def release_message(self, call, cause):
+        return (
+            f"BYE sip:peer@net SIP/2.0\r\nCall-ID: {call}\r\nCSeq: 9 BYE\r\nReason: Q.850;cause={cause}\r\n"
+            f"Content-Length: 0\r\n\r\n"
+        ).encode()
+
     def end(self, call, cause):
         """Releases an answered call on its own connection, else on any open one, else on the next new one."""
         writer = self.standing.pop(call, None)
         if writer is None:
             return
-        text = (
-            f"BYE sip:peer@net SIP/2.0\r\nCall-ID: {call}\r\nCSeq: 9 BYE\r\nReason: Q.850;cause={cause}\r\n"
-            f"Content-Length: 0\r\n\r\n"
-        ).encode()
+        text = self.release_message(call, cause)
         writer = writer if writer in self.open else next(iter(self.open), None)
         if writer is None:
             self.unsent.append(text)
