Move the core's interface to the sockets out of border.py

Change: SocketActions has a module of its own, and one method ends a call and queues its release. No behaviour changes.

--- a/tests/platform/platform_rig.py
+++ b/tests/platform/platform_rig.py
@@ -6,9 +6,10 @@
 from thorndale import interface as io
 from thorndale.platform import central as sip
 from thorndale.platform import isup
-from thorndale.platform.border import Border, SocketActions
+from thorndale.platform.border import Border
 from thorndale.platform.config import read
 from thorndale.platform.feed import Entry, Event
+from thorndale.platform.socket_actions import SocketActions
 from thorndale.policy import Proxy
 
 MS, S = 1_000, 1_000_000
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -17,9 +17,10 @@
 from thorndale.node.log import EventLog
 from thorndale.node.start import StartError, read_file
 from thorndale.platform import central, isup
-from thorndale.platform.border import Border, SocketActions
+from thorndale.platform.border import Border
 from thorndale.platform.errors import PlatformError
 from thorndale.platform.server_status import server_status_rows
+from thorndale.platform.socket_actions import SocketActions
 from thorndale.policy import Proxy
 
 OWN_DESCRIPTORS = 24  # of the process itself: streams, loop, listener, control feed, log
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -29,27 +29,6 @@
 MAINTENANCE_PERIOD_US = 50_000  # between two checks of undelivered releases and of connections to central servers
 
 
-class SocketActions:
-    """Socket actions that the core requires; implemented by the shell of the process and by tests."""
-
-    def to_caller(self, connection, data):
-        """Whether the connection accepts the data: one that is closing does not."""
-
-    def end_caller(self, connection):
-        """Closes a caller's connection after its unsent data is written."""
-
-    def connect(self, host, port):
-        """Opens a connection to a central server and returns its key; `server_opened` or `server_lost` follows for
-        it."""
-
-    def to_server(self, key, data):
-        """Whether the connection accepts the data."""
-
-    def end_server(self, key): ...
-
-    def log(self, event, **fields): ...
-
-
 class Border:
     def __init__(self, config, module, send, offset):
         self.config, self.send, self.offset = config, send, offset
@@ -531,9 +510,12 @@
 
     def _release_to_caller(self, now, call, cause, report):
         """Ends an established call that its server has released, and queues the release to its caller."""
+        self._end_and_release(now, call, outcomes.release_outcome(cause), report, cause or outcomes.CUT)
+
+    def _end_and_release(self, now, call, outcome, report, cause):
         connections = call.caller_connections
-        self._end_established(now, call, outcomes.release_outcome(cause), report, cause or outcomes.CUT)
-        self.releases.add(now, call.id, cause or outcomes.CUT, connections)
+        self._end_established(now, call, outcome, report, cause)
+        self.releases.add(now, call.id, cause, connections)
 
     def _end_established(self, now, call, outcome, report, cause):
         """Removes an established call and reports its end to the module. `cause`: the one told to its caller, now and
@@ -560,9 +542,7 @@
         if central.established:
             self.send.log("calls cut", server=central.name, calls=len(central.established), why=why)
         for call in list(central.established.values()):
-            connections = call.caller_connections
-            self._end_established(now, call, io.RESET, None, outcomes.CUT)
-            self.releases.add(now, call.id, outcomes.CUT, connections)
+            self._end_and_release(now, call, io.RESET, None, outcomes.CUT)
 
     # ---- seizures ----
 
