Test how a call ends that was named again; fill the descriptors in a fixed order

The ends of a named call by the server's death, by the list and after a long silence had no test.

Change: four ends on real processes; each connection of the other test stands by its call before the next one opens.

--- a/tests/node/test_release_paths.py
+++ b/tests/node/test_release_paths.py
@@ -7,7 +7,7 @@
 
 import pytest
 from test_crossings import close_connection, reset_connection, send_malformed
-from test_node import SETTINGS, call_id, is_released, run_on_platform
+from test_node import call_id, is_released, run_on_platform
 
 from bench.soak.servers import FullQueue
 from thorndale.platform import isup
@@ -237,17 +237,18 @@
 def test_a_call_whose_connection_was_closed_for_room_is_released_on_another(tmp_path):
     async def test(p):
         calls = await establish(p, await p.caller(), 1)
-        others = [await p.caller() for _ in range(40)]
-        for number, caller in enumerate(others):
-            caller.setup(call_id(100 + number))
-        await until(lambda: p.callers[1].closed)
-        for server in p.servers:
-            server.hold_s = 0.2
+        number = 100
+        while not p.callers[1].closed and number < 200:
+            other = await p.caller()
+            setup = other.setup(call_id(number))
+            await until(lambda other=other, setup=setup: other.kinds(setup) == [isup.ANSWER])
+            number += 1
+        assert p.callers[1].closed
         end_calls(calls)
         (call,) = calls
         await until(lambda: any(is_released(caller, call) for caller in p.callers), RELEASE_S)
 
-    run_on_platform(test, tmp_path, sockets=64, settings=SETTINGS)
+    run_on_platform(test, tmp_path, sockets=64)
 
 
 class Unreachable:
@@ -293,3 +294,44 @@
         await until(lambda: is_released(caller, call), UNDELIVERED_S - (time.monotonic() - ended))
 
     run_on_platform(test, tmp_path)
+
+
+async def server_dies(p, call, server):
+    await server.stop()
+
+
+async def list_tells_a_restart(p, call, server):
+    pool = p.servers.index(server)
+    p.feed.add(2, (int(server.name[2:], 16), server.host, server.port, 0, pool, int(time.time() * 1000)))
+
+
+async def list_tells_it_gone_and_it_closes(p, call, server):
+    p.feed.add(2, (int(server.name[2:], 16), server.host, server.port, 2, p.servers.index(server), 0))
+    await asyncio.sleep(0.3)
+    server.cut()
+
+
+async def ends_after_a_long_silence(p, call, server):
+    await asyncio.sleep(9.5)  # longer than an unused connection is kept
+    server.end(call.hex(), 16)
+
+
+# The connection on which a call was named must carry its release whatever ends the call, and must not end as idle before.
+@pytest.mark.parametrize(
+    "ends", [server_dies, list_tells_a_restart, list_tells_it_gone_and_it_closes, ends_after_a_long_silence]
+)
+def test_a_named_call_is_released_on_its_new_connection_however_it_ends(tmp_path, ends):
+    async def test(p):
+        await leave_releases_unanswered(p)
+        caller = await p.caller()
+        ((call, server),) = (await establish(p, caller, 1)).items()
+        reset_connection(caller)
+        await asyncio.sleep(0.2)
+        successor = await p.caller()
+        name_call(successor, call, server.name)
+        await asyncio.sleep(0.2)
+        await ends(p, call, server)
+        await until(lambda: is_released(successor, call), RELEASE_S)
+        assert successor.kinds(call) == [isup.RELEASE]
+
+    run_on_platform(test, tmp_path)
