Keep each naming connection of an undelivered release once

Cause: each naming of an ended call added its connection to the release on its way, also the same one; a caller that repeats a naming at full speed made every further one slower.

Change: a connection is added once.

Measured: the new test counts the connections after 20 namings: it failed before and passes; tests/platform/test_ends.py 22 passed.

--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -287,3 +287,18 @@
     rig.setup("d")
     rig.advance(2 * S)
     assert releases(rig, call) == ["d"] and not rig.core.releases.undelivered and not rig.core.releases.waiting
+
+
+# A caller that names an ended call at full speed must not make each further naming slower.
+def test_naming_an_ended_call_again_and_again_sends_its_release_once():
+    rig = Rig()
+    rig.open_dialled()
+    key, call = established_call(rig)
+    rig.bye(key, call)
+    server = rig.core.links[key].central.name
+    rig.caller("d")
+    for _ in range(20):
+        rig.setup("d", call=call, figures=f"dest:0;width:1;at:{server}".encode())
+    assert releases(rig, call) == ["c", "d"]
+    (release,) = rig.core.releases.undelivered.values()
+    assert len(release.own_connections) == 2 and not rig.core.calls
--- a/thorndale/platform/releases.py
+++ b/thorndale/platform/releases.py
@@ -70,7 +70,7 @@
             release = self.undelivered[call] = Release(call, cause, own_connections)
             self._send(now, release)
             return
-        release.own_connections += own_connections
+        release.own_connections += tuple(c for c in own_connections if c not in release.own_connections)
         self._send_by_own(now, release)
 
     def release_answered(self, connection, call):
