Count an offered release as sent only where its connection accepted it

Cause: an offer on a connection that does not accept data was noted like one that was written, and was not sent there once the connection proved to be a caller's.

Change: the offer is noted after the write; at the bound the release waits for a proven connection.

Measured: the new test failed before and passes; tests/platform/test_ends.py 23 passed.

--- a/tests/platform/test_ends.py
+++ b/tests/platform/test_ends.py
@@ -302,3 +302,17 @@
     assert releases(rig, call) == ["c", "d"]
     (release,) = rig.core.releases.undelivered.values()
     assert len(release.own_connections) == 2 and not rig.core.calls
+
+
+def test_an_offer_that_its_connection_does_not_accept_does_not_count_when_the_connection_is_proven():
+    rig = Rig()
+    rig.open_dialled()
+    key, call = established_call(rig)
+    rig.deliver("caller_lost", "c")
+    rig.bye(key, call)
+    rig.caller("d")
+    rig.closing.add("d")
+    rig.advance(500 * MS)
+    rig.closing.remove("d")
+    rig.setup("d")
+    assert releases(rig, call) == ["d"]
--- a/thorndale/platform/releases.py
+++ b/thorndale/platform/releases.py
@@ -119,10 +119,12 @@
                     self._offer(now, release, connection)
 
     def _offer(self, now, release, connection):
-        """Writes a waiting release to an unproven connection. It goes on waiting, since this may not be a caller's."""
-        if len(release.offered_keys) < MAX_OFFERS and connection.key not in release.offered_keys:
+        """Writes a waiting release to an unproven connection. It goes on waiting, since this may not be a caller's;
+        after `MAX_OFFERS` it waits for a proven connection only."""
+        if len(release.offered_keys) >= MAX_OFFERS or connection.key in release.offered_keys:
+            return
+        if self._write(now, release, connection, "release offered"):
             release.offered_keys.add(connection.key)
-            self._write(now, release, connection, "release offered")
 
     def _is_resend_due(self, now, release):
         if now - release.last_sent_at < RESEND_US or now - release.first_sent_at >= DELIVERY_US:
