--- a/review/kit2/stand.py
+++ b/review/kit2/stand.py
@@ -402,12 +402,13 @@
 
 
 class Caller:
-    """One connection of callers. It answers each release, as the protocol page leaves it free to."""
+    """One connection of callers. `hears`: it answers each release, as the protocol page leaves it free to."""
 
     all = []
 
-    def __init__(self, record, proxy):
+    def __init__(self, record, proxy, hears=True):
         self.all.append(self)
+        self.hears = hears
         self.record, self.proxy, self.got, self.passed, self.ended = record, proxy, {}, False, False
 
     async def open(self):
@@ -457,7 +458,8 @@
                         own=values.get(159, b"").startswith(call.hex().encode()))
         elif kind == RELEASE:
             self.record("caller: told release", call=call.hex(), proxy=self.proxy.name, cause=cause)
-            self.write(HEARD, call)
+            if self.hears:
+                self.write(HEARD, call)
 
     def close(self):
         if hasattr(self, "writer"):
