Review: a case that is ended by a signal ends what it started

Cause: a case that was killed left its border proxies running. Measured: case 7 ended after 4 s by SIGTERM and SIGINT (exit 2) and by SIGKILL, once each: no process of it left.

--- a/review/kit2/stand.py
+++ b/review/kit2/stand.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import signal
@@ -92,6 +93,11 @@
         return None
 
 
+def end_with_parent():
+    """For a child before its start: the kernel kills it when the case itself is killed (PR_SET_PDEATHSIG)."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 def free_port(host="127.0.0.1"):
     with socket.socket() as sock:
         sock.bind((host, 0))
@@ -253,7 +259,7 @@
         mark = f"{self.name}/{self.starts}"
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, __file__, "server", self.name, self.host, str(self.port), *map(str, self.times), mark,
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE, preexec_fn=end_with_parent)
         ready = asyncio.get_running_loop().create_future()
         self.reader = asyncio.get_running_loop().create_task(self._read(self.process, ready))
         await asyncio.wait_for(ready, 10)
@@ -370,7 +376,8 @@
         environ = dict(os.environ, GW_NAME=self.name, GW_LISTEN=f"127.0.0.1:{self.port}", GW_CONFIG=str(self.config),
                        PYTHONDONTWRITEBYTECODE="1")
         self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=environ, stdin=subprocess.DEVNULL,
-                                        stdout=subprocess.DEVNULL, stderr=open(self.log, "a"))
+                                        stdout=subprocess.DEVNULL, stderr=open(self.log, "a"),
+                                        preexec_fn=end_with_parent)
         self.record("proxy: started", proxy=self.name)
 
     async def ready(self):
@@ -530,9 +537,16 @@
                     caller.close()
                 await asyncio.sleep(0.2)  # for the ends of the connections
 
+    async def stoppable():
+        """Ended early by a signal, the case still ends what it started."""
+        task = asyncio.ensure_future(main())
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await task
+
     try:
-        breaks = asyncio.run(main())
-    except (CannotRun, TimeoutError, OSError) as error:
+        breaks = asyncio.run(stoppable())
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         record("verdict", code=2, why=f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return 2
