Review: each case names the record.txt that it writes

Cause: the name of the record stood in the shared stand-ins alone, so that nothing in a case's folder showed it. Change: each case.py hands the path of its record.txt over; what is written stays the same.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -40,4 +40,4 @@
     return [{"call": call, "run_at": found} for call, found in runs.items() if len(found) > 1]
 
 
-sys.exit(play(Path(__file__).resolve().parent, scenario))
+sys.exit(play(Path(__file__).resolve().parent / "record.txt", scenario))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -52,4 +52,4 @@
     ]
 
 
-sys.exit(play(Path(__file__).resolve().parent, scenario))
+sys.exit(play(Path(__file__).resolve().parent / "record.txt", scenario))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -106,4 +106,4 @@
     return breaks
 
 
-sys.exit(play(Path(__file__).resolve().parent, scenario))
+sys.exit(play(Path(__file__).resolve().parent / "record.txt", scenario))
--- a/review/kit2/stand.py
+++ b/review/kit2/stand.py
@@ -77,8 +77,8 @@
 class Record:
     """Writes what was sent, answered and run, with seconds since the start, and keeps it for the check."""
 
-    def __init__(self, folder):
-        self.file, self.began, self.rows = open(Path(folder) / "record.txt", "w"), time.time(), []
+    def __init__(self, path):
+        self.file, self.began, self.rows = open(path, "w"), time.time(), []
 
     def __call__(self, what, **more):
         row = {"at": round(time.time() - self.began, 3), "what": what, **more}
@@ -517,10 +517,10 @@
     return found
 
 
-def play(folder, scenario):
-    """Runs `scenario(record, folder for files, trouble, started)`; returns the exit code. `started` collects what has
+def play(record_path, scenario):
+    """Writes the record to `record_path`. Runs `scenario(record, folder for files, trouble, started)`; returns the exit code. `started` collects what has
     to be ended. The scenario returns the breaks that it found."""
-    record = Record(folder)
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
