Give back the timers and keys of calls that their callers take back at once

What callers saw: nothing; one bad client made the proxy pass its memory limit, and the platform kills it then. Change: the heap is purged of ended calls once they outnumber the pending ones; a call that was taken back before any attempt leaves no key, since it was never counted; at most 20,000 keys are remembered.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,7 +5,15 @@
 from kit import MS, ProxyDriver, S
 
 from thorndale import interface as io
-from thorndale.policy import RETRY_FLOOR, SKIP_US, SLOT_US, SLOTS
+from thorndale.policy import (
+    REMEMBERED_KEYS_MAX,
+    RETRY_FLOOR,
+    SKIP_US,
+    SLOT_US,
+    SLOTS,
+    TIMER_PURGE_THRESHOLD,
+    TIMERS_PER_CALL,
+)
 
 RETRIED_OUTCOMES = [io.FULL, io.TIMED_OUT, io.RESET, io.UNREACHABLE, io.FAULTY]
 
@@ -550,3 +558,37 @@
     # 100 went to server 4 when no call left the pool.
     assert full.count(4) < 50 and sum(full.count(s) for s in range(5, 10)) > 40, full
     assert len(full) == 100
+
+
+# Review case 10: calls that their callers took back at once stayed in memory until their deadline.
+def test_calls_taken_back_at_once_leave_neither_timers_nor_keys():
+    driver = ProxyDriver()
+    proxy = driver.proxy
+    for _ in range(3 * TIMER_PURGE_THRESHOLD):
+        driver.last_call += 1
+        call = driver.last_call
+        driver.handle(io.Call(call, 0, 0, call, 9 * S, 0, False, False), io.CallerAbandoned(call))
+        assert len(proxy.timers) <= TIMER_PURGE_THRESHOLD + 2 * TIMERS_PER_CALL
+    assert not proxy.calls and not proxy.recent_keys and not proxy.key_expiry
+    driver.advance(9 * S)
+    assert not proxy.timers
+
+
+# Related to review case 10: the keys of calls that were given back grew with the rate of the calls.
+def test_keys_of_calls_that_were_given_back_are_bounded_and_forgotten_after_the_guard_time():
+    driver = ProxyDriver(servers=0)
+    proxy = driver.proxy
+    for key in range(1, REMEMBERED_KEYS_MAX + 100):
+        driver.call(key=key)
+    assert len(proxy.recent_keys) == len(proxy.key_expiry) == REMEMBERED_KEYS_MAX
+    assert 1 not in proxy.recent_keys and REMEMBERED_KEYS_MAX + 99 in proxy.recent_keys
+    driver.advance(9 * S)
+    driver.handle()
+    assert not proxy.recent_keys and not proxy.key_expiry
+
+
+def test_a_purge_keeps_the_timers_of_pending_calls():
+    driver = ProxyDriver()
+    driver.call(answer_within=3 * S)
+    driver.proxy._purge_timers()
+    assert final(driver.advance(3 * S)) == io.Reason.DEADLINE_PASSED
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -11,7 +11,7 @@
 """
 
 from collections import deque
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from math import exp, log, sqrt
 
 from thorndale import interface as io
@@ -41,6 +41,9 @@
 FAILED_LOG_ODDS = 4.0  # log odds from which a server counts as failed: reached by two losses with no answer between
 LOG_ODDS_MAX = 8.0  # upper bound of the log odds, so that some dozen answers clear any server
 TIMER_GAP_MAX_US = 200_000  # longest gap between timers while a call is pending, so that a stall of the proxy shows
+TIMER_PURGE_THRESHOLD = 4096  # timers of ended calls below which removing them would cost more than it saves
+TIMERS_PER_CALL = 2  # of a pending call: its deadline and its retry
+REMEMBERED_KEYS_MAX = 20_000  # keys of calls that were given back; the oldest is forgotten for one more
 STALL_US = 100_000  # delay of a timer from which the proxy itself counts as stalled: many ticks
 TRIAL_GAP_TARGETS = 1.25  # setup targets from an unanswered set-up to the first trial, fourfold after each vain one
 TRIAL_GROWTH_STEPS = 3  # unanswered sends after which the gap no longer grows: 20 setup targets, more than most stalls
@@ -191,6 +194,7 @@
     def handle(self, now, events):
         self.now = now
         self.stalled = 0 < self.timer_at < now - STALL_US
+        self._forget_keys()
         for event in events:
             handler = self.handlers.get(type(event))
             if handler:
@@ -370,8 +374,6 @@
         if len(self.calls) + 1 >= settings["open_max"]:
             pending.reject(io.Reason.TOO_MANY_OPEN)
         revenue = settings["type_revenue"][call_type]
-        while self.key_expiry and self.key_expiry[0][0] <= self.now:
-            self.recent_keys.pop(self.key_expiry.popleft()[1], None)
         if event.key in self.recent_keys and not event.reattempt:
             pending.redial, pending.full_revenue, pending.arrived_at = True, False, self.recent_keys[event.key]
         if not pending.full_revenue:
@@ -510,7 +512,7 @@
 
     def _on_caller_abandoned(self, event):
         pending = self.calls.pop(event.call, None)
-        if pending:
+        if pending and pending.attempts:  # else it was taken back unsent, and a later call is the first one
             self._remember_key(pending)
 
     def _remember_key(self, pending):
@@ -521,6 +523,12 @@
             self.recent_keys[pending.key] = pending.arrived_at
             guard_us = self.settings["type_guard_us"][pending.call_type]
             self.key_expiry.append((pending.arrived_at + guard_us, pending.key))
+            self._forget_keys()
+
+    def _forget_keys(self):
+        """Removes the remembered keys whose guard time is over, and the oldest ones beyond the bound."""
+        while self.key_expiry and (self.key_expiry[0][0] <= self.now or len(self.key_expiry) > REMEMBERED_KEYS_MAX):
+            self.recent_keys.pop(self.key_expiry.popleft()[1], None)
 
     # ---- the retry budget ----
 
@@ -786,6 +794,14 @@
     def _schedule(self, at_us, pending):
         self.timer_serial += 1
         heappush(self.timers, (at_us, self.timer_serial, pending))
+        if len(self.timers) > TIMER_PURGE_THRESHOLD + 2 * TIMERS_PER_CALL * len(self.calls):
+            self._purge_timers()
+
+    def _purge_timers(self):
+        """Removes the timers of calls that have ended: callers that take their calls back at once would otherwise
+        leave each one in memory until its deadline."""
+        self.timers = [timer for timer in self.timers if self.calls.get(timer[2].call) is timer[2]]
+        heapify(self.timers)
 
     # ---- actions ----
 
