Bound the calls that are held by their callers' word, and give them back

What callers saw: nothing; one bad client made the proxy pass its memory limit, and the platform kills it then. Change: NamedCalls bounds them by the memory limit (100 a MB, 2,000 to 20,000). At the bound the oldest call of the connection that holds the most goes, first of connections on which no server has confirmed a call; parts of connections that have ended count together. A call whose caller has gone is given up after 20 mean call lengths, 10 minutes at least. Evidence: test_calls_named_under_unknown_ids_are_bounded_and_given_back fails on the code before (6200 == 3200).

--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -22,6 +22,7 @@
 from thorndale.platform.errors import PlatformError
 from thorndale.platform.feed import replay
 from thorndale.platform.links import CentralServer, Link
+from thorndale.platform.named_calls import NamedCalls
 from thorndale.platform.releases import Releases
 from thorndale.platform.shutdown import Shutdown
 from thorndale.timers import Timers
@@ -38,6 +39,7 @@
         self.centrals, self.by_index, self.next_index = {}, {}, 0
         self.releases, self.finished_calls = Releases(self.connections, send, self._increment), []
         self.ended_calls = EndedCalls()
+        self.named_calls = NamedCalls(config.state_bound, config.settings["type_hold_us"])
         self.shutdown, self.probes_sent = None, 0  # shutdown: the plan, once the process has to end
         self.call_types = {call_type.index: call_type for call_type in config.call_types.values()}
         self.count = {}
@@ -224,7 +226,7 @@
         self._prove_connection(now, connection)
         held_call = self.calls.get(call_id)
         if held_call is not None:
-            self._named_while_held(connection, held_call)
+            self._named_while_held(now, connection, held_call)
             return
         self._increment("taken up")
         central = self.centrals.get(setup.established_at)
@@ -237,18 +239,30 @@
             self.releases.add(now, call_id, ended.cause if has_ended else outcomes.CUT, (connection,))
             return
         call = Call(connection, call_id, setup, call_type)
-        call.central = central
+        call.central, call.description = central, b""
         self.calls[call_id] = central.established[call_id] = call
         call.add_caller_connection(connection)
+        excess_call = self.named_calls.add(now, call, connection)
+        if excess_call is not None:
+            self._forget_named(excess_call, "too many calls are named")
         self._log_call(call, "taken up", connection=connection.key, server=central.name)
         if not central.links:
             self._open_link(now, central)
 
-    def _named_while_held(self, connection, call):
+    def _forget_named(self, call, why):
+        """Stops holding a call that this process knows by its caller's word only. Nothing is sent: if its server
+        releases it later, its caller hears that when it names the call again."""
+        self._increment("namings given up")
+        self._log_call(call, "given up", server=call.central.name, why=why)
+        self._remove_established(call)
+        self._forget_unused(call.central)
+
+    def _named_while_held(self, now, connection, call):
         """Handles the naming of a call that this process holds: its release goes to the naming connection too."""
         state = "being set up" if call.central is None else "established"
         self._log_call(call, "named while held", connection=connection.key, state=state)
         if call.central is not None:
+            self.named_calls.named_again(now, call, connection)
             call.add_caller_connection(connection)
 
     def _caller_released(self, now, connection, call_id, cause):
@@ -287,6 +301,7 @@
             self._abandon(now, call, "its connection has ended")
         for call_id in list(connection.established):
             self.calls[call_id].remove_caller_connection(connection)
+        self.named_calls.connection_ended(connection)
         self.releases.connection_ended(now, connection)
 
     def is_needed(self, key):
@@ -459,6 +474,7 @@
         call.add_caller_connection(call.connection)
         call.central, call.description = central, b""
         central.established[call.id] = call
+        call.connection.confirmed |= accepted
         self._log_call(
             call,
             "stood",
@@ -493,6 +509,8 @@
         report = sip.report(signal.report, self.config.fields) if signal.report else None
         seizure = call.seizure
         if call.central is central:
+            for connection in call.caller_connections:
+                connection.confirmed = True
             self._release_to_caller(now, call, signal.cause, report)
         elif seizure is not None and seizure.central is central:
             self._released_before_answer(now, seizure, signal.cause, report)
@@ -522,12 +540,9 @@
         if the call is named again."""
         central = call.central
         self._log_call(call, "over", server=central.name, outcome=outcomes.NAMES[outcome])
-        central.established.pop(call.id, None)
         self.ended_calls.record(now, call.id, central.name, cause)
-        for connection in call.caller_connections:
-            call.remove_caller_connection(connection)
         central.count("completed" if outcome == io.COMPLETED else "cut")
-        self._finish_call(call)
+        self._remove_established(call)
         if call.index >= 0:
             self.decision_host.add_event(
                 io.SeizureEnded(call.index, call.seizure_count - 1, central.index, outcome, 0, 0, True, report)
@@ -535,6 +550,13 @@
             self.finished_calls.append(call)
         self._forget_unused(central)
 
+    def _remove_established(self, call):
+        call.central.established.pop(call.id, None)
+        for connection in call.caller_connections:
+            call.remove_caller_connection(connection)
+        self.named_calls.remove(call)
+        self._finish_call(call)
+
     def _cut_established(self, now, central, why, proved=True):
         """Ends all established calls of a server that was proved dead (`proved`) or could not be reached for too
         long."""
@@ -667,6 +689,8 @@
 
     def _maintain(self, now):
         self.releases.maintain(now)
+        for call in self.named_calls.expired(now):
+            self._forget_named(call, "its caller has gone")
         for central in list(self.centrals.values()):
             for link in list(central.links):
                 central.forget_abandoned(link, now)
--- a/thorndale/platform/callers.py
+++ b/thorndale/platform/callers.py
@@ -11,8 +11,9 @@
 class CallerConnection:
     """`setups` is {id: Call} of set-ups without a final answer; `established`: ids of the established calls that were
     set up on it; `unanswered_releases`: call ids of the releases sent on it without an answer. `proven`: a usable
-    set-up or a caller's release arrived on it; `answers_releases`: a release sent on it was answered. `has_offers`:
-    the waiting releases were offered on it. Times are whole microseconds."""
+    set-up or a caller's release arrived on it; `confirmed`: a central server has answered a set-up of it, or released a
+    call that was named on it, so its peer is a caller; `answers_releases`: a release sent on it was answered.
+    `has_offers`: the waiting releases were offered on it. Times are whole microseconds."""
 
     __slots__ = (
         "key",
@@ -20,6 +21,7 @@
         "established",
         "unanswered_releases",
         "proven",
+        "confirmed",
         "answers_releases",
         "has_offers",
         "opened_at",
@@ -30,7 +32,7 @@
     def __init__(self, key, now):
         self.key, self.setups, self.proven, self.answers_releases = key, {}, False, False
         self.established, self.unanswered_releases = set(), set()
-        self.has_offers = False
+        self.has_offers = self.confirmed = False
         self.opened_at, self.last_used_at, self.last_setup_at = now, now, now
 
     def is_needed(self):
--- a/thorndale/platform/config.py
+++ b/thorndale/platform/config.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from thorndale.fields import InputError
+from thorndale.platform.bounds import MAX_ITEMS, items_within
 from thorndale.platform.errors import PlatformError
 from thorndale.platform.feed import read_known
 from thorndale.settings import flatten, module_settings
@@ -21,7 +22,8 @@
 
 class Config(NamedTuple):
     """`settings`: the flat map for the module. `call_types`: {class name as bytes: CallType}. `fields`: {field of a
-    report on the wire: its name in `platform.central.report`}. `known`: (last event number, events)."""
+    report on the wire: its name in `platform.central.report`}. `known`: (last event number, events).
+    `state_bound`: how many items of each kind that callers can fill are kept."""
 
     name: str
     listen: tuple
@@ -34,6 +36,7 @@
     call_types: dict
     connect_us: int
     fields: dict
+    state_bound: int
 
 
 def address(text, where):
@@ -59,7 +62,8 @@
     try:
         seed = int(given["seed"], 16)
         sockets = int(limits["sockets"])
-    except (KeyError, TypeError, ValueError) as error:
+        state_bound = items_within(float(limits["memory_mb"])) if "memory_mb" in limits else MAX_ITEMS
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
         raise PlatformError(f"cannot be read: {type(error).__name__} {error}", "seed or limits") from None
     if sockets < 32:
         raise PlatformError(f"{sockets} descriptors are too few, 32 are needed", "limits.sockets")
@@ -77,6 +81,7 @@
         read_known(given["known"]),
         settings,
         *_types(given["settings"], settings),
+        state_bound,
     )
 
 
