Bound open set-ups and unread answers by the memory limit of the process

Change: what callers together have not read takes an eighth of memory_mb at most; beyond it the connection with the longest queue is ended. A memory limit that cannot be is refused.

--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -155,6 +155,35 @@
     on_loop(test, unsent_bytes=200_000)
 
 
+# Hundreds of peers that do not read could together fill the memory, each within its own limit.
+def test_peers_that_do_not_read_are_cut_before_they_fill_the_memory_together():
+    async def test(ends, core, port):
+        ends.tcp.queue_limit = 300_000
+        peers = [socket.create_connection(("127.0.0.1", port)) for _ in range(8)]
+        for peer in peers:
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            peer.send(MESSAGE)
+        await until(lambda: len(core.messages) == 8)
+        hops = [hop for _, hop in core.messages]
+        reader = hops[0]
+        for _ in range(10_000):
+            for hop in hops[1:]:
+                if hop in ends.tcp.by_hop:
+                    ends.send(hop, b"x" * 5_000)
+                assert ends.tcp.queue_memory <= 300_000
+            await asyncio.sleep(0)
+            if ends.tcp.count["cut, not reading"] >= 3:
+                break
+        assert ends.tcp.count["cut, not reading"] >= 3 and reader in ends.tcp.by_hop
+        ends.send(reader, b"y")
+        for peer in peers:
+            peer.close()
+        await until(lambda: not ends.tcp.tasks)
+        assert ends.tcp.queue_memory == 0
+
+    on_loop(test, unsent_bytes=200_000)
+
+
 def test_refused_and_silent_addresses():
     async def test(ends, core, port):
         closed = reserve_port()
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -47,6 +47,8 @@
         (json.dumps(configuration(listen="here")), "listen: 'here' is not HOST:PORT"),
         (json.dumps(configuration(listen="127.0.0.1:99999")), "listen"),
         (json.dumps(configuration(limits={"sockets": 8, "memory_mb": 32})), "limits.sockets"),
+        (json.dumps(configuration(limits={"sockets": 64, "memory_mb": 0})), "limits.memory_mb"),
+        (json.dumps(configuration(limits={"sockets": 64, "memory_mb": 1e999})), "seed or limits"),
         (json.dumps(configuration(seed="xyz")), "seed"),
         (json.dumps(configuration(settings=SETTINGS | {"tickMs": "soon"})), "'tickMs' is no number"),
         (json.dumps(configuration(settings=SETTINGS | {"nInstances": 0})), "'nInstances' is 0"),
--- a/thorndale/net/connection.py
+++ b/thorndale/net/connection.py
@@ -20,6 +20,7 @@
 HIGH_WATER_SHARE = 0.5  # share of the unsent bytes allowed above which the peer is not read until it reads
 READS_PER_BATCH = 8  # reads before the input is acted on: what follows a message may cancel it
 MESSAGE_TIME_FACTOR = 4  # limit for a whole message, in multiples of the limit for a pause within it
+QUEUE_ENTRY_BYTES = 64  # of memory for each queued message beside its text
 MAX_DISCARDED_BYTES = 65_536  # limit after `finish`: a peer sending at full speed would occupy the event loop
 
 
@@ -71,6 +72,7 @@
         self.owner, self.hop, self.sock, self.opening = owner, hop, sock, opening
         self.queue, self.unsent, self.write_wanted, self.drained = deque(), 0, asyncio.Event(), asyncio.Event()
         self.drained.set()
+        self.queue_memory = 0  # bytes of memory that the queue takes
         self.framer, self.closed = owner.stream.framer(), False
         self.partial_since = self.progress_at = 0.0  # start and latest byte of the message that is still incomplete
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -101,8 +103,18 @@
         if self.unsent > limits.unsent_bytes * HIGH_WATER_SHARE:
             self.drained.clear()
         self.queue.append(data)
+        self._count_queued(len(data) + QUEUE_ENTRY_BYTES)
         self.write_wanted.set()
-        return True
+        return self.owner.keep_within_queue_limit(self)
+
+    def _count_queued(self, size):
+        self.queue_memory += size
+        self.owner.queue_memory += size
+
+    def discard_queue(self):
+        """Gives back the memory of what was not sent, on a connection that has ended."""
+        self.queue.clear()
+        self._count_queued(-self.queue_memory)
 
     def has_unread(self):
         """Whether the socket holds bytes, or the peer's end of stream, that have not been read."""
@@ -123,7 +135,11 @@
                 self.write_wanted.clear()
                 while self.queue:  # an entry stays until it is sent, as `send` bypasses an empty queue
                     await loop.sock_sendall(self.sock, self.queue[0])
-                    self.unsent -= len(self.queue.popleft())
+                    if self.closed:  # its queue is discarded
+                        return
+                    size = len(self.queue.popleft())
+                    self.unsent -= size
+                    self._count_queued(-size - QUEUE_ENTRY_BYTES)
                     self.drained.set()
                 if self.finished_at is not None:
                     self.sock.shutdown(socket.SHUT_WR)
--- a/thorndale/net/tcp.py
+++ b/thorndale/net/tcp.py
@@ -22,7 +22,8 @@
     more comes than the limit allows; None refuses the new one. `on_end(hop, reason)`: why each connection ended, for
     the log. `on_unreadable(hop)`: the stream cannot be read further; the receiver of the call finishes the connection.
     `on_progress(hop)`: part of a message has been read. `is_needed(hop)`: whether something is owed on the connection,
-    so that a slow message does not end it."""
+    so that a slow message does not end it. `queue_limit`: bytes of memory for what all peers together have not read;
+    beyond it, the connection with the longest queue is ended."""
 
     def __init__(
         self,
@@ -39,11 +40,13 @@
         on_unreadable=None,
         on_progress=None,
         is_needed=None,
+        queue_limit=None,
     ):
         self.loop, self.limits, self.stream = loop, limits, stream
         self.on_data, self.on_lost, self.on_batch = on_data, on_lost, on_batch
         self.on_open, self.on_full, self.on_end, self.last_error = on_open, on_full, on_end, ""
         self.on_unreadable, self.on_progress, self.is_needed = on_unreadable, on_progress, is_needed
+        self.queue_limit, self.queue_memory = queue_limit, 0
         self.listeners, self.tasks, self.by_hop = [], {}, {}
         self.finishing = {}  # connections ended by `finish` that are not closed yet, oldest first
         self.serial, self.closing = 0, False
@@ -154,6 +157,14 @@
             connection.write_wanted.set()
             self.finishing[connection] = None
 
+    def keep_within_queue_limit(self, connection):
+        """Called when data was queued on this connection. Returns whether the connection is still up."""
+        while self.queue_limit is not None and self.queue_memory > self.queue_limit:
+            longest = max(self.tasks, key=lambda other: other.queue_memory)
+            self.count["cut, not reading"] += 1
+            self.drop(longest, "its peer does not read")
+        return not connection.closed
+
     def is_quiet(self, hop):
         """Whether a connection holds neither unread input nor unsent output."""
         connection = self.by_hop.get(hop)
@@ -193,6 +204,7 @@
         connection.reason = connection.reason or reason
         connection.closed, connection.finished_at = True, self.loop.time()
         self.finishing.pop(connection, None)
+        connection.discard_queue()
         connection.shutdown()
         self.loop.call_soon(self.report_end, connection)
         task = self.tasks.get(connection)
@@ -213,6 +225,7 @@
 
     def _task_done(self, connection, task):
         connection.sock.close()
+        connection.discard_queue()
         self.tasks.pop(connection, None)
         self.finishing.pop(connection, None)
         error = None if task.cancelled() else task.exception()
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -27,6 +27,7 @@
 SERVERS_DIVISOR = 4  # one in this many descriptors is reserved for central servers
 CALLER_READ_BYTES, SERVER_READ_BYTES = 4_096, 16_384  # size of one read, so that a fast sender delays no other
 MAX_UNSENT_BYTES = 262_144  # queued for a peer that does not read
+CALLER_QUEUE_DIVISOR = 8  # one in this many bytes of memory is for what callers together have not read
 PARTIAL_MS = 2_500  # longest pause within a message: callers may write slowly
 # An accepted connection without a whole message ends after this time: one that sends nothing valid must be closed
 # within 3 s.
@@ -76,6 +77,7 @@
             on_end=self._caller_ended,
             on_unreadable=self._caller_unreadable,
             is_needed=self.core.is_needed,
+            queue_limit=config.memory_bytes // CALLER_QUEUE_DIVISOR,
         )
         self.servers = Tcp(
             loop,
--- a/thorndale/platform/config.py
+++ b/thorndale/platform/config.py
@@ -4,11 +4,14 @@
 from typing import NamedTuple
 
 from thorndale.fields import InputError
-from thorndale.platform.bounds import MAX_ITEMS, items_within
+from thorndale.platform.bounds import items_within
 from thorndale.platform.errors import PlatformError
 from thorndale.platform.feed import read_known
 from thorndale.settings import flatten, module_settings
 
+DEFAULT_MEMORY_MB = 192.0  # where the configuration names no limit
+BYTES_PER_MB = 1 << 20
+
 
 class CallType(NamedTuple):
     """A call type, against which set-ups are validated."""
@@ -23,7 +26,7 @@
 class Config(NamedTuple):
     """`settings`: the flat map for the module. `call_types`: {class name as bytes: CallType}. `fields`: {field of a
     report on the wire: its name in `platform.central.report`}. `known`: (last event number, events).
-    `state_bound`: how many items of each kind that callers can fill are kept."""
+    `memory_bytes`: the memory limit. `state_bound`: how many items of each kind that callers can fill are kept."""
 
     name: str
     listen: tuple
@@ -36,6 +39,7 @@
     call_types: dict
     connect_us: int
     fields: dict
+    memory_bytes: int
     state_bound: int
 
 
@@ -62,15 +66,20 @@
     try:
         seed = int(given["seed"], 16)
         sockets = int(limits["sockets"])
-        state_bound = items_within(float(limits["memory_mb"])) if "memory_mb" in limits else MAX_ITEMS
+        memory_mb = float(limits.get("memory_mb", DEFAULT_MEMORY_MB))
+        memory_bytes = int(memory_mb * BYTES_PER_MB)
     except (KeyError, TypeError, ValueError, OverflowError) as error:
         raise PlatformError(f"cannot be read: {type(error).__name__} {error}", "seed or limits") from None
     if sockets < 32:
         raise PlatformError(f"{sockets} descriptors are too few, 32 are needed", "limits.sockets")
+    if memory_bytes <= 0:
+        raise PlatformError(f"{memory_mb} MB are too few", "limits.memory_mb")
     try:
         settings = module_settings(flatten(given["settings"]))
     except InputError as error:
         raise PlatformError(str(error), "settings") from None
+    state_bound = items_within(memory_mb)
+    settings["open_max"] = min(settings["open_max"], state_bound)
     return Config(
         str(given["name"]),
         address(given["listen"], "listen"),
@@ -81,6 +90,7 @@
         read_known(given["known"]),
         settings,
         *_types(given["settings"], settings),
+        memory_bytes,
         state_bound,
     )
 
