Bound the other state that callers fill, and give each back after its time

Cause: releases of calls named at unknown servers were kept until heard, up to 8 s, without a bound; those that no caller came for without an end; set-ups taken back after they were sent for 30 s; BYEs for a server without connection without a bound; and one turn of the loop could read any number of set-ups before the module was asked. Change: releases are bounded by FairBound and wait 120 s at most; AbandonedSetups and unsent messages keep the latest; ended calls expire without another event; a batch holds 2,000 events at most. Measured: a flood past each bound in virtual time; each container is back at zero after its time.

--- a/tests/platform/test_client_state.py
+++ b/tests/platform/test_client_state.py
@@ -1,9 +1,10 @@
 """State that grows with what callers send: each container has a bound, costs honest callers nothing there, and is
 given back (docs/platform.md, 'Bounds')."""
 
-from platform_rig import Rig, S
+from platform_rig import MS, Rig, S, setup_values
 
 from thorndale.platform import isup
+from thorndale.platform.border import MAX_BATCH_EVENTS
 
 MEMORY_MB = 32  # the least that the platform gives; 3,200 items of each kind
 
@@ -70,3 +71,114 @@
     name(rig, "d", [call])
     rig.advance(rig.core.named_calls.retention_us)
     assert call in rig.core.calls
+
+
+def test_open_set_ups_are_bounded_by_the_memory_and_given_back():
+    rig, bound = small_rig()
+    for call in identifiers(1 << 40, bound + 500):
+        rig.setup(call=call, within=b"3000", number=call.hex().encode())
+    assert len(rig.core.calls) <= bound and len(rig.core.decision_host.module.calls) <= bound
+    rig.advance(4 * S)
+    assert not rig.core.calls and len(rig.core.decision_host) == 0 and not rig.core.decision_host.module.calls
+    assert len(rig.received_by["c"]) == bound + 500, "each set-up gets one answer"
+
+
+# Related to review case 6: each naming at a server that is not listed left a release until it was heard, up to 8 s.
+def test_the_releases_of_calls_named_at_an_unknown_server_are_bounded_and_given_back():
+    rig, bound = small_rig()
+    rig.caller("bad")
+    setup_call = rig.setup()
+    key, invite = rig.last_invite()
+    rig.answer(key, invite)
+    rig.closing.add("c")
+    rig.caller("d")
+    rig.bye(key, setup_call)
+    name(rig, "bad", identifiers(1 << 50, bound + 500), server="s-00000077")
+    assert len(rig.core.releases.undelivered) == bound == len(rig.core.releases.bound)
+    rig.closing.remove("c")
+    rig.deliver("caller_lost", "bad")
+    rig.advance(10 * S)
+    assert causes(rig, "bad", (1 << 50).to_bytes(8, "big")) == [41]
+    rig.advance(130 * S)
+    assert not rig.core.releases.undelivered and not rig.core.releases.waiting and len(rig.core.releases.bound) == 0
+
+
+def test_releases_that_no_caller_comes_for_are_given_up_in_the_end():
+    rig, _ = small_rig()
+    rig.setup()
+    key, invite = rig.last_invite()
+    rig.answer(key, invite)
+    rig.deliver("caller_lost", "c")
+    rig.bye(key, bytes.fromhex(invite.call))
+    rig.advance(60 * S)
+    assert len(rig.core.releases.waiting) == 1
+    rig.advance(61 * S)
+    assert not rig.core.releases.waiting and not rig.core.releases.undelivered
+
+
+# Related to review case 10: set-ups that were sent and then taken back were kept for 30 s, for their late answers.
+def test_set_ups_taken_back_after_they_were_sent_are_bounded_and_given_back():
+    rig, bound = small_rig()
+    for call in identifiers(1 << 40, bound + 500):
+        rig.setup(call=call, number=call.hex().encode())
+        rig.release(call)
+        rig.advance(100)
+    sent = len(rig.invites())
+    assert sent > bound, "too few were sent to reach the bound"
+    assert sum(len(link.in_flight) for link in rig.core.links.values()) == len(rig.core.abandoned) == bound
+    key, latest = rig.last_invite()
+    rig.answer(key, latest)
+    assert [m.method for m in rig.sent[key] if m.call == latest.call][-2:] == ["ACK", "BYE"], (
+        "its late answer is released"
+    )
+    rig.advance(31 * S)
+    assert len(rig.core.abandoned) == 0 and not any(link.in_flight for link in rig.core.links.values())
+
+
+# Related to review case 6: a named call that is released leaves a BYE, which waits while its server has no connection.
+def test_messages_to_a_server_without_a_connection_are_bounded_and_given_back():
+    rig = Rig(limits={"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 256})
+    bound, central = rig.core.config.state_bound, rig.core.centrals["s-0000000a"]
+    for call in identifiers(1 << 40, bound + 500):
+        name(rig, "c", [call])
+        rig.release(call)
+    assert len(central.unsent) == bound
+    rig.advance(150 * MS)
+    for key, link in list(rig.core.links.items()):
+        if link.central is central:
+            rig.deliver("server_lost", key, "refused")
+    assert not central.unsent
+
+
+def test_ended_calls_are_bounded_and_forgotten_without_another_event():
+    rig, bound = small_rig()
+    key = next(key for key, link in rig.core.links.items() if link.central.name == "s-0000000a")
+    for call in identifiers(1 << 40, bound + 500):
+        name(rig, "c", [call])
+        rig.bye(key, call)
+    assert len(rig.core.ended_calls.by_call) == len(rig.core.ended_calls.expiries) == bound
+    rig.advance(31 * S)
+    assert not rig.core.ended_calls.by_call and not rig.core.ended_calls.expiries
+
+
+# Hundreds of connections may be read in one turn of the event loop, before the module is asked about any set-up.
+def test_set_ups_of_one_turn_are_decided_in_batches():
+    rig, _ = small_rig()
+    largest = 0
+    for call in identifiers(1 << 40, 2 * MAX_BATCH_EVENTS):
+        data = isup.encode(isup.SETUP, call, *setup_values(number=call.hex().encode()))
+        for message in isup.Framer().feed(data):
+            rig.core.caller_message(rig.now, "c", message)
+        largest = max(largest, len(rig.core.decision_host.events))
+    assert largest < MAX_BATCH_EVENTS and rig.invites()
+
+
+def test_connections_leave_nothing_behind():
+    rig, _ = small_rig()
+    for number in range(500):
+        rig.caller(number)
+        name(rig, number, identifiers(number << 16, 3))
+        rig.setup(number, call=identifiers(1 << 40 | number, 1)[0])
+        rig.deliver("caller_lost", number)
+    rig.advance(2 * rig.core.named_calls.retention_us)
+    assert len(rig.core.connections) == 1 and not rig.core.calls and len(rig.core.timers) <= 5
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -21,13 +21,14 @@
 from thorndale.platform.ended_calls import EndedCalls
 from thorndale.platform.errors import PlatformError
 from thorndale.platform.feed import replay
-from thorndale.platform.links import CentralServer, Link
+from thorndale.platform.links import AbandonedSetups, CentralServer, Link
 from thorndale.platform.named_calls import NamedCalls
 from thorndale.platform.releases import Releases
 from thorndale.platform.shutdown import Shutdown
 from thorndale.timers import Timers
 
 MAINTENANCE_PERIOD_US = 50_000  # between two checks of undelivered releases and of connections to central servers
+MAX_BATCH_EVENTS = 2_000  # read before the module decides: many connections may be read in one loop iteration
 
 
 class Border:
@@ -37,8 +38,9 @@
         self.connections = CallerConnections()
         self.calls, self.links = {}, {}  # calls by id, being set up or established; links by key
         self.centrals, self.by_index, self.next_index = {}, {}, 0
-        self.releases, self.finished_calls = Releases(self.connections, send, self._increment), []
-        self.ended_calls = EndedCalls()
+        self.releases, self.finished_calls = Releases(self.connections, send, self._increment, config.state_bound), []
+        self.ended_calls = EndedCalls(config.state_bound)
+        self.abandoned = AbandonedSetups(config.state_bound)
         self.named_calls = NamedCalls(config.state_bound, config.settings["type_hold_us"])
         self.shutdown, self.probes_sent = None, 0  # shutdown: the plan, once the process has to end
         self.call_types = {call_type.index: call_type for call_type in config.call_types.values()}
@@ -64,7 +66,9 @@
             if central is None:
                 if entry.state == io.GONE:
                     continue
-                central = self.centrals[entry.name] = CentralServer(self.next_index, entry.name)
+                central = self.centrals[entry.name] = CentralServer(
+                    self.next_index, entry.name, self.config.state_bound
+                )
                 self.by_index[self.next_index] = central
                 self.next_index += 1
             started_us = max(1, entry.started_ms * 1000 - self.offset) if entry.started_ms else 0
@@ -133,6 +137,8 @@
                 raise PlatformError(f"type {message_type} from a caller", "message")
         except PlatformError as error:
             self._refuse_unusable(now, connection, call_id, error)
+        if len(self.decision_host.events) >= MAX_BATCH_EVENTS:
+            self.flush(now)
 
     def _refuse_unusable(self, now, connection, call_id, error):
         """Refuses an unusable message and closes its connection; calls of other connections are not affected."""
@@ -311,7 +317,7 @@
 
     def _finish_call(self, call):
         """Marks a call as finished and removes it from the tables."""
-        call.finished = True
+        call.finished, call.description = True, b""
         self.calls.pop(call.id, None)
         if call.connection is not None:
             call.connection.setups.pop(call.id, None)
@@ -361,9 +367,8 @@
         if link is not None:
             link.central.connection_opened(link, now)
             self.send.log("server connection", did="opened", server=link.central.name, link=key)
-            unsent, link.central.unsent = link.central.unsent, []
-            for data in unsent:
-                self.send.to_server(key, data)
+            while link.central.unsent:
+                self.send.to_server(key, link.central.unsent.popleft())
             for seizure in link.in_flight.values():
                 self._send_invite(now, seizure)
 
@@ -396,10 +401,12 @@
         central.count(f"connections {kind}")
         if kind == "lost":
             central.last_lost_at = now
-        for seizure in list(link.in_flight.values()):
-            if not seizure.finished:
+        in_flight, link.in_flight = link.in_flight, {}
+        for seizure in in_flight.values():
+            if seizure.finished:
+                self.abandoned.remove(seizure)
+            else:
                 self._end_seizure(now, seizure, outcomes.connection_outcome(kind, seizure.sent_at is not None), None)
-        link.in_flight = {}
         is_first = central.connection_failed(now)
         if kind == "refused" and not any(other.is_open for other in central.links):
             self._cut_established(now, central, "refuses connections")
@@ -445,6 +452,7 @@
             if not is_description(signal.body):
                 raise PlatformError("unreadable description in an answer", central.name)
             del link.in_flight[signal.call]
+            self.abandoned.remove(seizure)
             self.send.to_server(link.key, sip.ack(call.hex_id, signal.number, call.number))
             if seizure.finished or call.finished:
                 central.count("late answers")
@@ -458,6 +466,7 @@
             self._call_established(now, seizure, signal.body)
             return
         del link.in_flight[signal.call]
+        self.abandoned.remove(seizure)
         self.send.to_server(link.key, sip.ack(call.hex_id, signal.number, call.number))
         if not seizure.finished:
             report = sip.report(signal.report, self.config.fields) if signal.report else None
@@ -561,6 +570,7 @@
         """Ends all established calls of a server that was proved dead (`proved`) or could not be reached for too
         long."""
         central.proved_dead |= proved
+        central.unsent.clear()
         if central.established:
             self.send.log("calls cut", server=central.name, calls=len(central.established), why=why)
         for call in list(central.established.values()):
@@ -598,6 +608,7 @@
             outcome = io.UNREACHABLE if outcome == io.TIMED_OUT else io.NOT_SENT
         else:
             self.send.to_server(link.key, sip.cancel(call.hex_id, 1, call.number))
+            self.abandoned.add(now, seizure)
         self._end_seizure(now, seizure, outcome, None, final)
 
     def timed_out(self, now, seizure):
@@ -689,11 +700,12 @@
 
     def _maintain(self, now):
         self.releases.maintain(now)
+        self.ended_calls.expire(now)
+        self.abandoned.expire(now)
         for call in self.named_calls.expired(now):
             self._forget_named(call, "its caller has gone")
         for central in list(self.centrals.values()):
             for link in list(central.links):
-                central.forget_abandoned(link, now)
                 action = central.check_silence(link, now)
                 if action == "probe":
                     link.probe_sent_at = now
--- a/thorndale/platform/links.py
+++ b/thorndale/platform/links.py
@@ -5,6 +5,8 @@
 assigned to a new one.
 """
 
+from collections import OrderedDict, deque
+
 from thorndale import interface as io
 
 MAX_LINKS = 4  # per server; the limit of the protocol for unsolicited reports
@@ -53,13 +55,43 @@
         return now - max(self.probe_sent_at, self.last_received_at) > timeout_us
 
 
+class AbandonedSetups:
+    """The set-ups that were given up after their INVITE was written and that have had no answer. They stay in their
+    link's `in_flight`, so that a late answer is released; at most `limit` of them, for `ABANDONED_RETENTION_US`."""
+
+    def __init__(self, limit):
+        self.limit = limit
+        self._abandoned_at = OrderedDict()  # {Seizure: when it was given up}
+
+    def __len__(self):
+        return len(self._abandoned_at)
+
+    def add(self, now, seizure):
+        """Remembers one more; beyond the limit, the oldest is forgotten: an answer that crosses a CANCEL comes soon."""
+        self._abandoned_at[seizure] = now
+        if len(self._abandoned_at) > self.limit:
+            self._forget_oldest()
+
+    def remove(self, seizure):
+        """Removes a set-up that was answered or whose connection has ended, if it is there."""
+        self._abandoned_at.pop(seizure, None)
+
+    def expire(self, now):
+        while self._abandoned_at and now - next(iter(self._abandoned_at.values())) > ABANDONED_RETENTION_US:
+            self._forget_oldest()
+
+    def _forget_oldest(self):
+        seizure, _ = self._abandoned_at.popitem(last=False)
+        seizure.link.in_flight.pop(seizure.call.hex_id, None)
+
+
 class CentralServer:
     """A central server as this proxy observes it. `established` is {call id: Call}, `started_us` 0 without a late
     start. `event_counts` counts socket events, to be compared in the log with the module's estimates. `unsent`:
-    messages about established calls that go out on the next connection that opens. `proved_dead`: the server was proved
-    dead since this process has known it, so any call that a caller reports as established there has ended.
-    `replacement_needed_since`: when a connection was lost that may have carried a release, until one opened after that
-    is up and the server can repeat the release, else None."""
+    messages about established calls that go out on the next connection that opens, the latest `limit` of them.
+    `proved_dead`: the server was proved dead since this process has known it, so any call that a caller reports as
+    established there has ended. `replacement_needed_since`: when a connection was lost that may have carried a release,
+    until one opened after that is up and the server can repeat the release, else None."""
 
     __slots__ = (
         "unsent",
@@ -82,13 +114,13 @@
         "response_times_us",
     )
 
-    def __init__(self, index, name):
+    def __init__(self, index, name, limit):
         self.index, self.name = index, name
         self.host, self.port, self.pool, self.state, self.started_us = "", 0, -1, -1, 0
         self.links, self.established, self.unreachable_since = [], {}, 0
         self.next_connect_at, self.failures, self.last_lost_at = 0, 0, -1
         self.replacement_needed_since = None
-        self.event_counts, self.response_times_us, self.unsent, self.proved_dead = {}, [], [], False
+        self.event_counts, self.response_times_us, self.unsent, self.proved_dead = {}, [], deque(maxlen=limit), False
 
     def count(self, what):
         self.event_counts[what] = self.event_counts.get(what, 0) + 1
@@ -105,17 +137,6 @@
         open_another = chosen is None or is_busy and len(self.links) < MAX_LINKS and not (chosen.is_open and is_opening)
         return chosen, open_another
 
-    def forget_abandoned(self, link, now):
-        """Removes abandoned set-ups that have had no answer for `ABANDONED_RETENTION_US`; they would accumulate
-        otherwise."""
-        expired = [
-            key
-            for key, seizure in link.in_flight.items()
-            if seizure.finished and now - seizure.sent_at > ABANDONED_RETENTION_US
-        ]
-        for key in expired:
-            del link.in_flight[key]
-
     def first_open_link(self):
         for link in self.links:
             if link.is_open:
--- a/thorndale/platform/releases.py
+++ b/thorndale/platform/releases.py
@@ -8,17 +8,21 @@
 just after it was sent. A release that no such connection accepts waits for the next caller. Meanwhile it is offered on
 unproven connections, whose peers may be callers that have not sent a set-up yet. No I/O: `send` carries out the socket
 actions.
+
+The releases are bounded in number, since callers can cause them by naming calls that have ended; at the bound one is
+given up as `bounds.FairBound` tells.
 """
 
-from collections import deque
+from collections import OrderedDict
 
 from thorndale.platform import isup
+from thorndale.platform.bounds import UNCONFIRMED_DEPARTED, FairBound
 
-MAX_WAITING = 20_000  # as many as there may be established calls
 DELIVERY_US = 1_000_000  # a release must be delivered within this time
 RESEND_US = 250_000  # a caller that answers releases has answered by then; allows four attempts within DELIVERY_US
 CLOSE_CROSSING_US = 50_000  # a caller's close may cross a message this long after it is sent, as the protocol states
 MAX_DELIVERY_US = 8_000_000  # limit of the protocol for a release that could not be delivered before
+WAITING_RETENTION_US = 120_000_000  # long after the time for delivery, for callers that come back late
 MAX_OFFERS = 8  # unproven connections on which a waiting release is offered: peers may open them by the hundred
 OFFER_AGE_US = 250_000  # age of an unproven connection from which releases are offered: a health check is over by then
 MAX_UNANSWERED = 8  # releases in a row without an answer after which callers count as not answering
@@ -27,7 +31,8 @@
 class Release:
     """A release that is due to the caller of an ended call. `own_connections`: those of the call's set-up and namings;
     `carriers`: keys of the open connections that accepted it; `tried_keys`: keys of all that accepted it;
-    `offered_keys`: those on which it was offered while unproven. `first_sent_at`: when it was first sent since the last
+    `offered_keys`: those on which it was offered while unproven; tuples, as they are short and releases may be many.
+    `waiting_since`: when it began to wait, None if it does not. `first_sent_at`: when it was first sent since the last
     time that it waited, else None; `last_sent_at`: when it was last sent."""
 
     __slots__ = (
@@ -37,23 +42,26 @@
         "carriers",
         "tried_keys",
         "offered_keys",
+        "waiting_since",
         "first_sent_at",
         "last_sent_at",
     )
 
     def __init__(self, call, cause, own_connections):
         self.call, self.cause, self.own_connections = call, cause, own_connections
-        self.carriers, self.tried_keys, self.offered_keys = set(), set(), set()
-        self.first_sent_at, self.last_sent_at = None, None
+        self.carriers, self.tried_keys, self.offered_keys = (), (), ()
+        self.first_sent_at = self.last_sent_at = self.waiting_since = None
 
 
 class Releases:
-    """All releases of a proxy. `connections`: a CallerConnections; `note(what)` increments a counter."""
+    """All releases of a proxy. `connections`: a CallerConnections; `note(what)` increments a counter; `limit`: the most
+    releases that are kept."""
 
-    def __init__(self, connections, send, note):
+    def __init__(self, connections, send, note, limit):
         self.connections, self.send, self.note = connections, send, note
         self.undelivered = {}  # {call id: Release}
-        self.waiting = deque()  # those that no connection has accepted
+        self.waiting = OrderedDict()  # those that no connection has accepted, by call id, the longest waiting first
+        self.bound = FairBound(limit)  # of call ids
         self.any_answered, self.unanswered_in_row = False, 0  # unanswered_in_row is used only until the first answer
 
     def __contains__(self, call):
@@ -68,7 +76,12 @@
         release = self.undelivered.get(call)
         if release is None:
             release = self.undelivered[call] = Release(call, cause, own_connections)
-            self._send(now, release)
+            owner = own_connections[0] if own_connections else UNCONFIRMED_DEPARTED
+            excess_call = self.bound.add(now, call, owner)
+            if excess_call is not None:
+                self._give_up(self.undelivered[excess_call], "too many releases are undelivered")
+            if call in self.undelivered:
+                self._send(now, release)
             return
         release.own_connections += tuple(c for c in own_connections if c not in release.own_connections)
         self._send_by_own(now, release)
@@ -83,14 +96,17 @@
 
     def caller_proven(self, now):
         """Sends the waiting releases, now that a proven connection is open."""
-        for _ in range(len(self.waiting)):
-            self._send(now, self.waiting.popleft())
+        waiting, self.waiting = self.waiting, OrderedDict()
+        for release in waiting.values():
+            release.waiting_since = None
+            self._send(now, release)
 
     def connection_ended(self, now, connection):
         """Sends the unanswered releases of a closed connection on another one."""
+        self.bound.owner_departed(connection)
         for release in [self.undelivered[call] for call in connection.unanswered_releases]:
             if now - release.last_sent_at < self._loss_window_us():
-                release.carriers.discard(connection.key)
+                release.carriers = tuple(key for key in release.carriers if key != connection.key)
                 self._send(now, release)
 
     def _loss_window_us(self):
@@ -102,6 +118,7 @@
     def maintain(self, now):
         """Repeats, offers and expires releases; to be called several times within `RESEND_US`."""
         if self.waiting:
+            self._expire_waiting(now)
             self._offer_waiting(now)
         for release in [release for release in self.undelivered.values() if release.carriers]:
             if now - release.first_sent_at >= max(DELIVERY_US, self._loss_window_us()):
@@ -110,12 +127,24 @@
             elif self._is_resend_due(now, release):
                 self._send(now, release)
 
+    def _expire_waiting(self, now):
+        while self.waiting:
+            release = next(iter(self.waiting.values()))
+            if now - release.waiting_since < WAITING_RETENTION_US:
+                return
+            self._give_up(release, "no caller has come for it")
+
+    def _give_up(self, release, why):
+        self.send.log("call", call=release.call.hex(), did="release given up", why=why)
+        self.note("releases given up")
+        self._forget(release)
+
     def _offer_waiting(self, now):
         """Offers the waiting releases on the unproven connections that have become old enough."""
         for connection in self.connections.latest_unproven(MAX_OFFERS, now - OFFER_AGE_US):
             if not connection.has_offers:
                 connection.has_offers = True
-                for release in self.waiting:
+                for release in self.waiting.values():
                     self._offer(now, release, connection)
 
     def _offer(self, now, release, connection):
@@ -124,7 +153,7 @@
         if len(release.offered_keys) >= MAX_OFFERS or connection.key in release.offered_keys:
             return
         if self._write(now, release, connection, "release offered"):
-            release.offered_keys.add(connection.key)
+            release.offered_keys += (connection.key,)
 
     def _is_resend_due(self, now, release):
         if now - release.last_sent_at < RESEND_US or now - release.first_sent_at >= DELIVERY_US:
@@ -169,23 +198,18 @@
                 return
         if release.carriers:
             return
-        release.first_sent_at = None
-        if len(self.waiting) < MAX_WAITING:
-            self.send.log(
-                "call",
-                call=release.call.hex(),
-                did="release waits",
-                why="no usable connection",
-                open=len(self.connections),
-                proven=sum(connection.proven for connection in self.connections.values()),
-            )
-            self.waiting.append(release)
-            for connection in self.connections.latest_unproven(MAX_OFFERS, now - OFFER_AGE_US):
-                self._offer(now, release, connection)
-        else:
-            self.send.log("call", call=release.call.hex(), did="release given up", why="too many releases are waiting")
-            self.note("releases given up")
-            self._forget(release)
+        release.first_sent_at, release.waiting_since = None, now
+        self.waiting[release.call] = release
+        self.send.log(
+            "call",
+            call=release.call.hex(),
+            did="release waits",
+            why="no usable connection",
+            open=len(self.connections),
+            proven=sum(connection.proven for connection in self.connections.values()),
+        )
+        for connection in self.connections.latest_unproven(MAX_OFFERS, now - OFFER_AGE_US):
+            self._offer(now, release, connection)
 
     def _send_by_own(self, now, release):
         """Sends the release on each of its own connections that has not carried it; returns whether any accepted it."""
@@ -199,10 +223,12 @@
             return False
         self.connections.touch(connection, now)
         connection.unanswered_releases.add(release.call)
-        release.carriers.add(connection.key)
+        if connection.key not in release.carriers:
+            release.carriers += (connection.key,)
         if release.tried_keys:
             self.note("releases sent again")
-        release.tried_keys.add(connection.key)
+        if connection.key not in release.tried_keys:
+            release.tried_keys += (connection.key,)
         release.last_sent_at = now
         if release.first_sent_at is None:
             release.first_sent_at = now
@@ -222,6 +248,8 @@
 
     def _forget(self, release):
         del self.undelivered[release.call]
+        self.waiting.pop(release.call, None)
+        self.bound.remove(release.call)
         for key in release.carriers:
             connection = self.connections.get(key)
             if connection is not None:
