Count a release as delivered only where its peer is known to be a caller

Cause: whoever had sent the latest set-up, also one taken back at once, was taken for the caller; after eight releases without an answer, which callers are free to leave out, one write counted as delivered; and anybody's answer did. Change: a connection is confirmed once a central server answered a set-up of it or released a call named on it. Confirmed ones come first; only they and the call's own ones count as carriers, and only their answers as heard.

--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -220,6 +220,12 @@
         self.connections.mark_proven(connection)
         self.releases.caller_proven(now)
 
+    def _confirm_connection(self, now, connection):
+        """Marks a connection as that of a caller for whom a central server has held a call."""
+        if not connection.confirmed:
+            connection.confirmed = True
+            self.releases.caller_confirmed(now, connection)
+
     def _refuse_at_shutdown(self, connection, call_id):
         self._increment("refused at shutdown")
         self.send.log("call", call=call_id.hex(), did="refused", connection=connection.key, why="the process is ending")
@@ -483,7 +489,8 @@
         call.add_caller_connection(call.connection)
         call.central, call.description = central, b""
         central.established[call.id] = call
-        call.connection.confirmed |= accepted
+        if accepted:
+            self._confirm_connection(now, call.connection)
         self._log_call(
             call,
             "stood",
@@ -519,7 +526,7 @@
         seizure = call.seizure
         if call.central is central:
             for connection in call.caller_connections:
-                connection.confirmed = True
+                self._confirm_connection(now, connection)
             self._release_to_caller(now, call, signal.cause, report)
         elif seizure is not None and seizure.central is central:
             self._released_before_answer(now, seizure, signal.cause, report)
--- a/thorndale/platform/releases.py
+++ b/thorndale/platform/releases.py
@@ -3,11 +3,14 @@
 A release is sent on every open connection on which the call was set up or named by its caller: an older one may be
 half-open, and on a later one another caller may have named it. If there is none, it is sent on the best other one. A
 connection that closes, or whose peer is a different caller, loses it silently, so it is sent again on another
-connection until a caller answers it or its time is over. Answering is optional for callers. They are assumed to answer
-until several releases in a row remain unanswered; after that, a release is sent again only if its connection closes
-just after it was sent. A release that no such connection accepts waits for the next caller. Meanwhile it is offered on
-unproven connections, whose peers may be callers that have not sent a set-up yet. No I/O: `send` carries out the socket
-actions.
+connection until a caller answers it or its time is over. Answering is optional for callers, so a release that one of
+its own connections has carried is sent again only if callers are known to answer, or if that connection closes just
+after it was sent. A release that no connection accepts waits for the next caller. Meanwhile it is offered on unproven
+connections, whose peers may be callers that have not sent a set-up yet. No I/O: `send` carries out the socket actions.
+
+Anybody may connect, send set-ups and read what comes. So a release counts as delivered, and its answer as a caller's,
+on its own connections and on those on which a central server has confirmed a call; sent on any other one, it goes on
+being sent, and is sent on each connection that is confirmed meanwhile.
 
 The releases are bounded in number, since callers can cause them by naming calls that have ended; at the bound one is
 given up as `bounds.FairBound` tells.
@@ -29,7 +32,8 @@
 
 
 class Release:
-    """A release that is due to the caller of an ended call. `own_connections`: those of the call's set-up and namings;
+    """A release that is due to the caller of an ended call. `own_connections`: those of the call's set-up and of its
+    namings until it ended; `named_connections`: of its namings since, by peers that may have read the release;
     `carriers`: keys of the open connections that accepted it; `tried_keys`: keys of all that accepted it;
     `offered_keys`: those on which it was offered while unproven; tuples, as they are short and releases may be many.
     `waiting_since`: when it began to wait, None if it does not. `first_sent_at`: when it was first sent since the last
@@ -39,6 +43,7 @@
         "call",
         "cause",
         "own_connections",
+        "named_connections",
         "carriers",
         "tried_keys",
         "offered_keys",
@@ -48,10 +53,13 @@
     )
 
     def __init__(self, call, cause, own_connections):
-        self.call, self.cause, self.own_connections = call, cause, own_connections
+        self.call, self.cause, self.own_connections, self.named_connections = call, cause, own_connections, ()
         self.carriers, self.tried_keys, self.offered_keys = (), (), ()
         self.first_sent_at = self.last_sent_at = self.waiting_since = None
 
+    def preferred_connections(self):
+        return self.own_connections + self.named_connections
+
 
 class Releases:
     """All releases of a proxy. `connections`: a CallerConnections; `note(what)` increments a counter; `limit`: the most
@@ -83,16 +91,28 @@
             if call in self.undelivered:
                 self._send(now, release)
             return
-        release.own_connections += tuple(c for c in own_connections if c not in release.own_connections)
-        self._send_by_own(now, release)
+        known = release.preferred_connections()
+        release.named_connections += tuple(c for c in own_connections if c not in known)
+        self._send_by_preferred(now, release)
 
     def release_answered(self, connection, call):
-        """Handles a caller's answer to a release; ignored on a connection on which the release was not sent."""
+        """Handles an answer to a release; ignored on a connection on which the release was not sent, and from a peer
+        that may be no caller."""
         release = self.undelivered.get(call)
-        if release is not None and connection.key in release.carriers:
-            connection.answers_releases = self.any_answered = True
-            self.send.log("call", call=call.hex(), did="release heard", connection=connection.key)
-            self._forget(release)
+        if release is None or connection.key not in release.carriers:
+            return
+        if not self._is_trusted(release, connection):
+            self.send.log("call", call=call.hex(), did="release answered by a stranger", connection=connection.key)
+            return
+        connection.answers_releases = self.any_answered = True
+        self.send.log("call", call=call.hex(), did="release heard", connection=connection.key)
+        self._forget(release)
+
+    def caller_confirmed(self, now, connection):
+        """Sends the releases that only peers of unknown standing have got on a connection that is confirmed now."""
+        for release in list(self.undelivered.values()):
+            if release.carriers and connection.key not in release.tried_keys and not self._has_trusted_carrier(release):
+                self._send_by(now, release, connection)
 
     def caller_proven(self, now):
         """Sends the waiting releases, now that a proven connection is open."""
@@ -121,12 +141,26 @@
             self._expire_waiting(now)
             self._offer_waiting(now)
         for release in [release for release in self.undelivered.values() if release.carriers]:
-            if now - release.first_sent_at >= max(DELIVERY_US, self._loss_window_us()):
+            if now - release.first_sent_at >= self._keep_us(release):
                 self.unanswered_in_row += 1
                 self._forget(release)
             elif self._is_resend_due(now, release):
                 self._send(now, release)
 
+    def _keep_us(self, release):
+        """How long a release is kept after it was first sent, if nobody answers it."""
+        if self._has_trusted_carrier(release):
+            return max(DELIVERY_US, self._loss_window_us())
+        return MAX_DELIVERY_US
+
+    def _is_trusted(self, release, connection):
+        """Whether the peer of a connection is a caller, not anybody who connected."""
+        return connection.confirmed or connection in release.own_connections
+
+    def _has_trusted_carrier(self, release):
+        carriers = (self.connections.get(key) for key in release.carriers)
+        return any(carrier is not None and self._is_trusted(release, carrier) for carrier in carriers)
+
     def _expire_waiting(self, now):
         while self.waiting:
             release = next(iter(self.waiting.values()))
@@ -160,8 +194,7 @@
             return False
         if self.any_answered:
             return True
-        has_own_carrier = any(connection.key in release.carriers for connection in release.own_connections)
-        return self.unanswered_in_row < MAX_UNANSWERED and not has_own_carrier
+        return not any(connection.key in release.carriers for connection in release.own_connections)
 
     def has_undelivered(self, now):
         """Whether any release is waiting, or is still within the time in which it may be sent again."""
@@ -171,11 +204,13 @@
         )
 
     def _candidates(self, release):
-        """Connections that are not its own and on which it was not sent yet, the best last: those that have answered
-        releases, then those with open set-ups, then the one with the latest set-up."""
+        """Connections that are not its own and on which it was not sent yet, the best last: those of confirmed callers,
+        of these the ones that have answered releases, then those with open set-ups, then the one with the latest
+        set-up."""
 
         def rank(connection):
             return (
+                connection.confirmed,
                 connection.answers_releases,
                 bool(connection.setups),
                 connection.last_setup_at,
@@ -190,7 +225,7 @@
 
     def _send(self, now, release):
         """Sends the release on its own connections, else on the best other one; one that none accepts waits."""
-        if self._send_by_own(now, release):
+        if self._send_by_preferred(now, release):
             return
         candidates = self._candidates(release)
         while candidates:
@@ -211,9 +246,9 @@
         for connection in self.connections.latest_unproven(MAX_OFFERS, now - OFFER_AGE_US):
             self._offer(now, release, connection)
 
-    def _send_by_own(self, now, release):
-        """Sends the release on each of its own connections that has not carried it; returns whether any accepted it."""
-        untried = [connection for connection in release.own_connections if connection.key not in release.tried_keys]
+    def _send_by_preferred(self, now, release):
+        """Sends the release on each connection of its call that has not carried it; returns whether any accepted it."""
+        untried = [c for c in release.preferred_connections() if c.key not in release.tried_keys]
         return any([self._send_by(now, release, connection) for connection in untried])
 
     def _send_by(self, now, release, connection):
