Repeat and reject calls only as the semantics of their class permit

Cause: classes[].semantics, group and windowMs were never read; each outcome but completed and busy led to a retry. Change: the module gets them as type_repetition, and the zones of the servers. Once an attempt has an outcome that does not prove that it never ran, an unsafe call gets no other one, a keyed one goes to servers of its group within its window only, and both are failed, not rejected, unless every server discards the repeats. One check at the end of each plan covers every way to a final answer. Semantics that cannot be read are refused with the setting's name.

--- a/tests/kit.py
+++ b/tests/kit.py
@@ -11,6 +11,7 @@
     base |= dict(type_target_us=[1200 * MS, 800 * MS], type_guard_us=[9 * S, 6 * S])
     base |= dict(type_hold_us=[10 * S, 10 * S])
     base |= dict(type_revenue=[1.0, 6.0], type_late_part=[0.25, 0.25], type_pools=[[0, 1], [0, 1]])
+    base |= dict(type_repetition=[io.ALWAYS_REPEATABLE] * 2)
     base |= dict(client_quota=[], over_quota_part=1.0, release_us=500 * MS, resend_us=0, seizures_max=5)
     base |= dict(
         open_max=20000, may_cancel=True, comeback_told=True, comeback_max_us=2 * S, list_asked=False, fleet_rights=False
--- a/tests/platform/test_feed.py
+++ b/tests/platform/test_feed.py
@@ -27,8 +27,10 @@
 
 
 def test_frames_and_json_give_the_same_events():
-    members = {"seq": 0, "whole": True, "hosts": HOSTS}
-    assert feed.read_known({"n": 1, "events": [{"n": 1, "members": members}]}) == (1, events(frame(1, 1, WHOLE)))
+    hosts = [host | {"site": "east"} for host in HOSTS]
+    known = {"n": 1, "events": [{"n": 1, "members": {"seq": 0, "whole": True, "hosts": hosts}}]}
+    assert feed.read_known(known, ("east", "west")) == (1, events(frame(1, 1, WHOLE)))
+    assert {entry.zone for entry in feed.read_known(known, ("west",))[1][0].entries} == {-1}
 
 
 def test_frames_come_out_whole_at_every_split():
--- a/tests/platform/test_platform_border.py
+++ b/tests/platform/test_platform_border.py
@@ -1,7 +1,7 @@
 """The core on the platform: one final answer for each call and one end for each seizure, in every order of events."""
 
 import pytest
-from platform_rig import ANSWER, BODY, HOSTS, MS, Rig, S, entry
+from platform_rig import ANSWER, BODY, HOSTS, MS, SETTINGS, Rig, S, entry
 
 from thorndale import interface as io
 from thorndale.platform import isup, outcomes
@@ -546,3 +546,44 @@
     ends = [e for e in rig.module_events if type(e) is io.SeizureEnded]
     assert [(e.outcome, e.beyond) for e in ends] == [(io.FULL, False)]
     assert not any(type(e) is io.Forwarded for e in rig.module_events)
+
+
+def rig_of_unsafe_calls():
+    call_types = [call_type | {"semantics": "unsafe"} for call_type in SETTINGS["classes"]]
+    rig = Rig(settings=SETTINGS | {"classes": call_types})
+    rig.open_dialled()
+    return rig
+
+
+# Review case 7: a call that must not be repeated ran a second time at another server after its answer was spoilt.
+@pytest.mark.parametrize("end", ["spoilt", "lost", "time-out", "error"])
+def test_an_unsafe_call_that_may_have_run_fails_and_is_sent_nowhere_else(end):
+    rig = rig_of_unsafe_calls()
+    rig.setup(within=b"1200")
+    key, invite = rig.last_invite()
+    if end in ("spoilt", "lost"):
+        rig.deliver("server_lost", key, end)
+    elif end == "error":
+        rig.answer(key, invite, 500)
+    rig.advance(2 * S)
+    rig.open_dialled()
+    rig.advance(2 * S)
+    assert len(rig.invites()) == 1 and causes(rig) == [(isup.RELEASE, 41)]
+
+
+@pytest.mark.parametrize("end", ["full", "refused"])
+def test_an_unsafe_call_that_certainly_never_ran_is_sent_again(end):
+    if end == "full":
+        rig = rig_of_unsafe_calls()
+        rig.setup()
+        rig.answer(*rig.last_invite(), 503)
+    else:
+        call_types = [call_type | {"semantics": "unsafe"} for call_type in SETTINGS["classes"]]
+        rig = Rig(settings=SETTINGS | {"classes": call_types})
+        rig.setup()
+        link = next(iter(rig.core.calls.values())).seizure.link
+        rig.deliver("server_lost", link.key, "refused")
+    rig.advance(100 * MS)
+    rig.open_dialled()
+    rig.advance(400 * MS)
+    assert len(rig.invites()) == (2 if end == "full" else 1) and "c" not in rig.received_by
--- a/tests/sites/test_sites.py
+++ b/tests/sites/test_sites.py
@@ -18,6 +18,7 @@
     "type_hold_us": [5 * S, 4 * S],
     "type_revenue": [1.0, 6.0],
     "type_late_part": [0.25, 0.25],
+    "type_repetition": [io.ALWAYS_REPEATABLE] * 2,
     "type_pools": [[0, 1, 2], [0, 1]],
     "client_quota": [],
     "over_quota_part": 1.0,
--- a/thorndale/adapter/codec.py
+++ b/thorndale/adapter/codec.py
@@ -130,7 +130,8 @@
             if ref not in lists:
                 raise field.InputError(f"list {ref} was never defined")
             entries = tuple(
-                io.Server(self.server_index(s), pool, state, started) for s, pool, state, started in lists[ref]
+                io.Server(self.server_index(s), pool, state, started, zone)
+                for s, pool, state, started, zone in lists[ref]
             )
             return io.Servers(entries, form != "diff", form == "disk")
         if name == "MEMO":
@@ -173,7 +174,7 @@
 
 
 def list_entry(fields):
-    """One ITEM of a DEFINE_LIST as (server, pool, state, start)."""
+    """One ITEM of a DEFINE_LIST as (server, pool, state, start, zone)."""
     state = field.required(fields, "lifecycle", field.string)
     if state not in STATES:
         raise field.InputError(f"unknown lifecycle {state[:40]!r}")
@@ -182,4 +183,5 @@
         field.required(fields, "nodeNo", field.integer),
         STATES[state],
         field.optional(fields, "startedAtMs", field.ms_to_us, 0),
+        field.optional(fields, "campus", field.integer, -1),
     )
--- a/thorndale/call/decision.py
+++ b/thorndale/call/decision.py
@@ -4,6 +4,7 @@
 the settings.
 """
 
+from thorndale import interface as io
 from thorndale.policy import Proxy
 from thorndale.sites.router import SiteRouter
 from thorndale.sites.topology import expand_settings
@@ -61,6 +62,7 @@
         "type_hold_us": [t.hold_ms * 1000 for t in types],
         "type_revenue": [t.revenue for t in types],
         "type_late_part": [t.late_part for t in types],
+        "type_repetition": [io.ALWAYS_REPEATABLE for _ in types],
         "type_pools": [[group[g] for g in t.trunk_groups] for t in types],
         "client_quota": quotas if quotas and all(quotas) else [],
         "over_quota_part": settings.over_quota_part,
--- a/thorndale/emulator/settings.py
+++ b/thorndale/emulator/settings.py
@@ -1,5 +1,6 @@
 """The settings map of the decision module in an emulated proxy."""
 
+from thorndale import interface as io
 from thorndale.emulator.day import S
 
 TICK_US = 1_000
@@ -20,6 +21,7 @@
         "type_hold_us": [t.hold_us for t in types],
         "type_revenue": [t.revenue for t in types],
         "type_late_part": [t.late_part for t in types],
+        "type_repetition": [io.ALWAYS_REPEATABLE for _ in types],
         "type_pools": [list(pools) for _ in types],
         "client_quota": [],
         "over_quota_part": 1.0,
--- a/thorndale/interface.py
+++ b/thorndale/interface.py
@@ -17,13 +17,43 @@
 COMPLETED, BUSY, FULL, TIMED_OUT, UNREACHABLE, RESET, CANCELLED, NOT_SENT, FAULTY, EMPTY = range(10)
 
 
+class Semantics(StrEnum):
+    """Whether a call may run more than once: SAFE at will; KEYED where the servers of one group discard repeats; UNSAFE
+    never."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class KeyedGroup(StrEnum):
+    """The servers that discard repeats of a KEYED call: all of them, those of one zone, or those of one pool."""
+
+    ALL = "all"
+    ZONE = "zone"
+    POOL = "cell"
+
+
+class Repetition(NamedTuple):
+    """What is permitted for a call of one type once an attempt may have run. `group` and `window_us`, counted from when
+    the first such attempt was sent, are for KEYED calls."""
+
+    semantics: Semantics
+    group: KeyedGroup = KeyedGroup.ALL
+    window_us: int = 0
+
+
+ALWAYS_REPEATABLE = Repetition(Semantics.SAFE)
+
+
 class Server(NamedTuple):
-    """One entry of the server list."""
+    """One entry of the server list. `zone`: -1 if it is not known."""
 
     server: int
     pool: int
     state: int
     started_us: int  # start of its process; 0: long ago
+    zone: int = -1
 
 
 class Report(NamedTuple):
@@ -174,6 +204,7 @@
     RETRY_BARRED = "the server of its retry has failed or left"
     NO_LEASE = "the fleet gave no right to the retry in time"
     FULL_DOWNSTREAM = "there is no room beyond the server"
+    NOT_REPEATABLE = "it may have run, and must not run again"
     SERVER_REFUSED = "the server's refusal is final"
     DEADLINE_PASSED = "its time is up"
     NO_SITE = "no site takes it"
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -82,7 +82,7 @@
             if moved:  # only now, so that the links for established calls are opened to the new address
                 for link in list(central.links):
                     self._drop_link(now, link)
-            changes.append(io.Server(central.index, central.pool, entry.state, started_us))
+            changes.append(io.Server(central.index, central.pool, entry.state, started_us, entry.zone))
         for central in list(self.centrals.values()):
             if whole and central.name not in listed_names and central.state != io.GONE:
                 central.state = io.GONE
--- a/thorndale/platform/config.py
+++ b/thorndale/platform/config.py
@@ -87,7 +87,7 @@
         sockets,
         limits,
         address(given["feed"], "feed"),
-        read_known(given["known"]),
+        read_known(given["known"], _zones(given["settings"])),
         settings,
         *_types(given["settings"], settings),
         memory_bytes,
@@ -95,6 +95,13 @@
     )
 
 
+def _zones(raw):
+    zones = raw.get("zones") or ()
+    if not isinstance(zones, list | tuple) or not all(isinstance(name, str) for name in zones):
+        raise PlatformError("is no list of names", "settings.zones")
+    return zones
+
+
 def _types(raw, settings):
     try:
         info, call_types = raw.get("familyInfo", {}), {}
--- a/thorndale/platform/feed.py
+++ b/thorndale/platform/feed.py
@@ -20,7 +20,8 @@
 
 
 class Entry(NamedTuple):
-    """A central server. `started_ms`: Unix time of its start if that was late, else 0."""
+    """A central server. `started_ms`: Unix time of its start if that was late, else 0. `zone`: its place in the zones
+    of the settings, -1 if it is not known."""
 
     name: str
     host: str
@@ -28,6 +29,7 @@
     state: int
     pool: int
     started_ms: int
+    zone: int = -1
 
 
 class Event(NamedTuple):
@@ -71,16 +73,18 @@
     if kind not in (WHOLE, CHANGES) or len(payload) % RECORD.size:
         raise PlatformError(f"kind {kind} with {len(payload)} bytes", "frame")
     entries = []
-    for name, address, port, state, _zone, _kind, cell, _weight, started in RECORD.iter_unpack(payload):
+    for name, address, port, state, zone, _kind, cell, _weight, started in RECORD.iter_unpack(payload):
         if state >= len(STATES):
             raise PlatformError(f"state {state}", "frame")
         host = ".".join(str(address >> shift & 255) for shift in (24, 16, 8, 0))
-        entries.append(Entry(f"s-{name:08x}", host, port, STATES[state], cell, started))
+        entries.append(Entry(f"s-{name:08x}", host, port, STATES[state], cell, started, zone))
     return Event(number, kind == WHOLE, tuple(entries))
 
 
-def read_known(known):
-    """Parses the configuration's `known` into (last event number, Events). Raises PlatformError."""
+def read_known(known, zones=()):
+    """Parses the configuration's `known` into (last event number, Events); `zones`: the names of the zones in the
+    settings. Raises PlatformError."""
+    zone_numbers = {name: number for number, name in enumerate(zones)}
     try:
         events = []
         for event in known["events"]:
@@ -96,6 +100,7 @@
                         HEALTH_STATES[host_entry["health"]],
                         int(host_entry["block"]),
                         int(host_entry.get("born_ms") or 0),
+                        zone_numbers.get(host_entry.get("site"), -1),
                     )
                 )
             events.append(Event(int(event["n"]), bool(members["whole"]), tuple(entries)))
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -58,6 +58,7 @@
 QUOTA_BURST_US = 1_000_000  # span of a proxy's part of a client quota that may arrive at once
 CALLER_ERROR_FRACTION = 0.3  # errors at a sound server: callers may send this fraction of calls no server can complete
 LOST_OUTCOMES = (io.RESET, io.UNREACHABLE)  # a sound server seldom gives these
+NEVER_RAN_OUTCOMES = (io.FULL, io.EMPTY, io.UNREACHABLE, io.NOT_SENT)  # prove that the server did not run the call
 REFUSAL_OUTCOMES = (io.FULL, io.EMPTY, io.FAULTY, io.BUSY)  # a server answers with these
 JOINT_CUT_US = 100_000  # span in which a second cut call at a server is evidence of more than coincidence
 TURN_CREDIT_MAX = 1.0  # calls that a server may be owed or ahead by; more would send it a herd when it returns
@@ -76,6 +77,7 @@
 SERVER_DEFAULTS = dict(
     state=io.SERVING,
     pool=-1,
+    zone=-1,
     started=0,
     free_lines=None,  # free lines as last reported
     reported_rate=0.0,  # set-ups a second that the server reports it can take
@@ -136,6 +138,9 @@
         "want",
         "target_server",
         "reason",
+        "sent_at",
+        "run_server",
+        "run_sent_at",
     )
 
     def __init__(self, event, now):
@@ -151,6 +156,8 @@
         self.revenue, self.answered, self.no_capacity = 0.0, False, True
         self.forwarded = False  # the server of the seizure in flight has carried the call on
         self.want, self.target_server, self.reason = "new", 0, io.Reason.UNSPECIFIED
+        # Of the latest attempt; of the first one that may have run: its server, -1 if there is none, and when it went.
+        self.sent_at, self.run_server, self.run_sent_at = 0, -1, 0
 
     def reject(self, reason):
         self.want, self.reason = "reject", reason
@@ -239,7 +246,7 @@
                 ) = 0, 0.0, 0, {}
                 self.weight[server], self.least_reported_wait[server], self.peer_log_odds[server] = 1.0, None, 0.0
             self._set_state(server, entry.state)
-            self.pool[server] = entry.pool
+            self.pool[server], self.zone[server] = entry.pool, entry.zone
         if event.whole:
             for server in range(len(self.state)):
                 if server not in listed:
@@ -486,6 +493,8 @@
             del self.calls[event.call]
             return
         pending.seizure, pending.answered, pending.forwarded, pending.failed_server = -1, False, False, server
+        if event.outcome not in NEVER_RAN_OUTCOMES and pending.run_server < 0:
+            pending.run_server, pending.run_sent_at = server, pending.sent_at
         pending.no_capacity = outcome in (io.FULL, io.EMPTY)
         if outcome in (io.TIMED_OUT, io.RESET, io.CANCELLED):
             pending.release_until = self.now + self.settings["release_us"]
@@ -530,6 +539,41 @@
         while self.key_expiry and (self.key_expiry[0][0] <= self.now or len(self.key_expiry) > REMEMBERED_KEYS_MAX):
             self.recent_keys.pop(self.key_expiry.popleft()[1], None)
 
+    # ---- calls that may have run ----
+
+    def _repetition(self, pending):
+        return self.settings["type_repetition"][pending.call_type]
+
+    def _repeat_until(self, pending):
+        """Until when a further attempt may be sent: the deadline, unless an earlier one may have run. Then the page's
+        rule on duplicate effects holds: UNSAFE calls get none, KEYED ones within their window."""
+        repetition = self._repetition(pending)
+        if pending.run_server < 0 or repetition.semantics == io.Semantics.SAFE:
+            return pending.deadline
+        if repetition.semantics == io.Semantics.UNSAFE:
+            return self.now - 1
+        return min(pending.deadline, pending.run_sent_at + repetition.window_us)
+
+    def _may_run_at(self, server, pending):
+        """Whether a server may get a further attempt: of a KEYED call that may have run, only the servers that discard
+        its repeats."""
+        repetition = self._repetition(pending)
+        if pending.run_server < 0 or repetition.semantics == io.Semantics.SAFE:
+            return True
+        if repetition.semantics == io.Semantics.UNSAFE:
+            return False
+        if repetition.group == io.KeyedGroup.ALL or server == pending.run_server:
+            return True
+        places = self.zone if repetition.group == io.KeyedGroup.ZONE else self.pool
+        return places[server] == places[pending.run_server] >= 0
+
+    def _may_be_rejected(self, pending):
+        """Whether the caller may be told that trying again is harmless."""
+        repetition = self._repetition(pending)
+        if pending.run_server < 0 or repetition.semantics == io.Semantics.SAFE:
+            return True
+        return repetition.semantics == io.Semantics.KEYED and repetition.group == io.KeyedGroup.ALL
+
     # ---- the retry budget ----
 
     def _roll_window(self, server):
@@ -682,7 +726,7 @@
         # A random start, or all calls that leave one pool would go to the same next one.
         offset = int(self._random() * len(allowed))
         pool_order = sorted(allowed[offset:] + allowed[:offset], key=lambda pool: pool != pending.pool)
-        servers = [server for pool in pool_order for server in self._round_robin(pool)]
+        servers = [s for pool in pool_order for s in self._round_robin(pool) if self._may_run_at(s, pending)]
         usable = [server for server in servers if self._is_usable(server)] or [
             server for server in servers if self.failure_log_odds[server] < FAILED_LOG_ODDS
         ]
@@ -745,6 +789,8 @@
                     self.first_setups[server][self._roll_window(server)] += 1
                 pending.want, pending.target_server = "seize", server
                 self._record_seizure(pending, server)
+        elif pending.want == "again" and self._repeat_until(pending) <= self.now:
+            pending.reject(io.Reason.NOT_REPEATABLE)
         elif pending.want == "again":
             server = self._route(pending, pending.failed_server)
             reason = self._retry_refusal(pending, server)
@@ -753,7 +799,7 @@
                 return
             backoff_us = min(BACKOFF_MAX_US, BACKOFF_BASE_US << pending.attempts - 1)
             retry_at = max(self.now + int(self._random() * backoff_us), pending.release_until)
-            if retry_at >= pending.deadline:
+            if retry_at >= self._repeat_until(pending):
                 pending.reject(io.Reason.RETRY_TOO_LATE)
             else:
                 pending.want, pending.target_server, pending.retry_at = "wait", server, retry_at
@@ -763,6 +809,8 @@
             server = pending.target_server
             if self.now > pending.lease_until:
                 pending.reject(io.Reason.NO_LEASE)
+            elif self._repeat_until(pending) <= self.now or not self._may_run_at(server, pending):
+                pending.reject(io.Reason.NOT_REPEATABLE)
             elif self.state[server] != io.SERVING or not self._is_usable(server):
                 pending.reject(io.Reason.RETRY_BARRED)
             else:
@@ -787,7 +835,7 @@
             self.redials_refused_until = self.now + int(REDIAL_REFUSAL_TARGETS * self.setup_target_us)
 
     def _record_seizure(self, pending, server):
-        self.in_flight[server][pending.call] = self.now
+        self.in_flight[server][pending.call] = pending.sent_at = self.now
         self.unanswered[server] += 1
         self.last_sent_at[server] = self.now
 
@@ -813,7 +861,10 @@
                 continue
             if pending.want == "seize" and pending.seizure < 0:
                 counted = not (pending.attempts or pending.redial)
-                actions.append(io.Seize(pending.call, pending.target_server, pending.deadline - self.now, counted))
+                timeout_us = (
+                    self._repeat_until(pending) - self.now
+                )  # it may be written later than now, but not too late
+                actions.append(io.Seize(pending.call, pending.target_server, timeout_us, counted))
                 pending.seizure, pending.server, pending.want = pending.attempts, pending.target_server, "keep"
                 pending.attempts += 1
             elif pending.want == "wait" and pending.lease_until == LEASE_WANTED:
@@ -822,7 +873,7 @@
             elif pending.want in ("reject", "fail"):
                 if pending.seizure >= 0 and self.settings["may_cancel"]:
                     actions.append(io.Cancel(pending.call, pending.seizure))
-                if pending.want == "fail":
+                if pending.want == "fail" or not self._may_be_rejected(pending):
                     actions.append(io.Fail(pending.call, pending.reason))
                 else:
                     actions.append(io.Reject(pending.call, self._comeback_delay(), pending.reason))
--- a/thorndale/settings.py
+++ b/thorndale/settings.py
@@ -4,11 +4,13 @@
 nested JSON. The nested form is flattened first, so that only `module_settings` builds the map.
 
 tick_us: how much later the host process may deliver an answer than the module decides it. instances: proxies of this
-fleet, this one included. type_*: by call type. client_quota: set-ups a second of all proxies, by client. list_asked:
-whether the server list must be subscribed to. Times are whole microseconds.
+fleet, this one included. type_*: by call type; type_repetition: what is permitted once an attempt may have run.
+client_quota: set-ups a second of all proxies, by client. list_asked: whether the server list must be subscribed to.
+Times are whole microseconds.
 """
 
 from thorndale import fields as field
+from thorndale import interface as io
 
 MAX_TIME_US = 1_000_000_000_000  # upper bound of the times in the settings: some eleven days
 
@@ -57,6 +59,34 @@
     return [field.optional(info, f"{base}.{n}.{leaf}", parse, default) for n in range(count)]
 
 
+def _choice(kind):
+    """A parser for the values of an enumeration."""
+
+    def parse(path, text):
+        try:
+            return kind(text)
+        except ValueError:
+            names = ", ".join(kind)
+            raise field.InputError(f"'{path}' is {text[:40]!r}, which is none of {names}") from None
+
+    return parse
+
+
+def _repetitions(info):
+    """What is permitted for each call type once an attempt may have run; `keyed` requires a group and a window."""
+    found = []
+    for n in range(field.optional(info, "classes.count", field.integer, 0)):
+        path = f"classes.{n}"
+        semantics = field.optional(info, f"{path}.semantics", _choice(io.Semantics), io.Semantics.SAFE)
+        if semantics != io.Semantics.KEYED:
+            found.append(io.Repetition(semantics))
+            continue
+        group = field.required(info, f"{path}.group", _choice(io.KeyedGroup))
+        window_us = _in_range(info, f"{path}.windowMs", field.ms_to_us, 0, MAX_TIME_US)
+        found.append(io.Repetition(semantics, group, window_us))
+    return found
+
+
 def module_settings(info):
     """The decision module's settings map from flat pairs. Raises InputError that names a missing or invalid setting."""
     pool_lists = field.optional(info, "familyInfo.skilledPools.count", field.integer, 0)
@@ -72,6 +102,7 @@
         ],
         "type_revenue": _per_item(info, "classes[].worth", field.number),
         "type_late_part": _per_item(info, "classes[].lateWorth", field.number, 0.0),
+        "type_repetition": _repetitions(info),
         "type_pools": [
             [
                 field.integer("familyInfo.skilledPools", pool)
--- a/thorndale/sites/topology.py
+++ b/thorndale/sites/topology.py
@@ -9,7 +9,14 @@
 site, and the module needs no notion of sites.
 """
 
-PER_TYPE_SETTINGS = ("type_target_us", "type_guard_us", "type_hold_us", "type_revenue", "type_late_part")
+PER_TYPE_SETTINGS = (
+    "type_target_us",
+    "type_guard_us",
+    "type_hold_us",
+    "type_revenue",
+    "type_late_part",
+    "type_repetition",
+)
 
 
 class SitesError(Exception):
