Send nothing on for a caller that has closed, however much of its input is unread

Cause: a close lies behind the unread messages in the stream. They were read 32 KiB a turn and sent on after each turn, until the end itself was read, up to 0.3 s later. Change: before each read of a caller's connection the kernel is asked whether the peer has closed (TCP_INFO). From then on its open set-ups are given up and the set-ups that are still read are dropped; releases and namings count as before.

--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -75,6 +75,34 @@
     run_on_platform(test, tmp_path)
 
 
+# Operators' picture (c): a client closed with much still unread, and its requests were sent on afterwards.
+@pytest.mark.parametrize("leaves", [close_connection, reset_connection])
+def test_nothing_is_forwarded_for_a_caller_whose_close_lies_behind_much_unread(tmp_path, leaves):
+    async def test(p):
+        caller, other = await p.caller(), await p.caller()
+        assert await caller.test() and await other.test()
+        standing = other.setup(call_id(900))
+        await until(lambda: isup.ANSWER in other.kinds(standing))
+        for server in p.servers:
+            server.hold_s = 5
+        kept = other.setup(call_id(901))
+        await until(lambda: isup.ANSWER in other.kinds(kept))
+        suspend(p)
+        calls = [caller.setup(call_id(n)) for n in range(600)]  # more than is read in one turn of the event loop
+        caller.writer.write(isup.release(kept, 16))  # any connection may release a call that stands
+        await flush_to_kernel(caller)
+        leaves(caller)
+        await asyncio.sleep(0.3)
+        p.process.send_signal(signal.SIGCONT)
+        await expect_service_for_others(p, 1_000)
+        assert not {c.hex() for c in calls} & {c for s in p.servers for c in s.seen}
+        if leaves is close_connection:  # a reset may take what is unread with it
+            await until(lambda: any(kept.hex() in s.cut_by_peer for s in p.servers))
+        assert "fault in the program" not in p.logged_events()
+
+    run_on_platform(test, tmp_path)
+
+
 def test_a_caller_that_came_and_left_before_it_was_accepted_has_gone(tmp_path):
     async def test(p):
         suspend(p)
--- a/thorndale/net/connection.py
+++ b/thorndale/net/connection.py
@@ -21,6 +21,8 @@
 READS_PER_BATCH = 8  # reads before the input is acted on: what follows a message may cancel it
 MESSAGE_TIME_FACTOR = 4  # limit for a whole message, in multiples of the limit for a pause within it
 QUEUE_ENTRY_BYTES = 64  # of memory for each queued message beside its text
+# States of Linux's TCP_INFO in which the peer has ended its direction, or reset the connection.
+PEER_CLOSED_STATES = frozenset((6, 7, 8, 9, 11))  # TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING
 MAX_DISCARDED_BYTES = 65_536  # limit after `finish`: a peer sending at full speed would occupy the event loop
 
 
@@ -78,6 +80,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.established, self.opened_at, self.got_message = not opening, owner.loop.time(), False
         self.finished_at, self.end_reported, self.discarded_bytes, self.end_kind = None, False, 0, "lost"
+        self.peer_closed = False
         self.reason = ""  # why it ended, for the log
 
     def send(self, data):
@@ -153,6 +156,15 @@
         self.reason = self.reason or f"send failed: {error.strerror}"
         self.drained.set()
 
+    def _check_peer(self):
+        """Reports, once, that the peer has closed, although what it wrote before that is not read yet."""
+        report = self.owner.on_peer_closed
+        if report is None or self.peer_closed or self.finished_at is not None:
+            return
+        self.peer_closed = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in PEER_CLOSED_STATES
+        if self.peer_closed:
+            report(self.hop)
+
     def shutdown(self):
         """Ends both directions at once, so that the peer sees the end before its report makes anyone reconnect."""
         with contextlib.suppress(OSError):  # the peer has reset it
@@ -184,6 +196,7 @@
             for reads_left in reversed(range(READS_PER_BATCH)):
                 if not size or self.discarded_bytes > MAX_DISCARDED_BYTES:
                     return
+                self._check_peer()
                 completed = self._deliver(view[:size]) or completed
                 try:
                     size = self.sock.recv_into(buffer) if reads_left else 0  # bytes that are read must be delivered
--- a/thorndale/net/tcp.py
+++ b/thorndale/net/tcp.py
@@ -22,7 +22,8 @@
     more comes than the limit allows; None refuses the new one. `on_end(hop, reason)`: why each connection ended, for
     the log. `on_unreadable(hop)`: the stream cannot be read further; the receiver of the call finishes the connection.
     `on_progress(hop)`: part of a message has been read. `is_needed(hop)`: whether something is owed on the connection,
-    so that a slow message does not end it. `queue_limit`: bytes of memory for what all peers together have not read;
+    so that a slow message does not end it. `on_peer_closed(hop)`: the peer has closed the connection, and what it wrote
+    before follows. `queue_limit`: bytes of memory for what all peers together have not read;
     beyond it, the connection with the longest queue is ended."""
 
     def __init__(
@@ -40,12 +41,14 @@
         on_unreadable=None,
         on_progress=None,
         is_needed=None,
+        on_peer_closed=None,
         queue_limit=None,
     ):
         self.loop, self.limits, self.stream = loop, limits, stream
         self.on_data, self.on_lost, self.on_batch = on_data, on_lost, on_batch
         self.on_open, self.on_full, self.on_end, self.last_error = on_open, on_full, on_end, ""
         self.on_unreadable, self.on_progress, self.is_needed = on_unreadable, on_progress, is_needed
+        self.on_peer_closed = on_peer_closed
         self.queue_limit, self.queue_memory = queue_limit, 0
         self.listeners, self.tasks, self.by_hop = [], {}, {}
         self.finishing = {}  # connections ended by `finish` that are not closed yet, oldest first
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -77,6 +77,7 @@
             on_end=self._caller_ended,
             on_unreadable=self._caller_unreadable,
             is_needed=self.core.is_needed,
+            on_peer_closed=self._caller_left,
             queue_limit=config.memory_bytes // CALLER_QUEUE_DIVISOR,
         )
         self.servers = Tcp(
@@ -146,6 +147,9 @@
     def _caller_unreadable(self, hop):
         self.core.caller_unreadable(now_us(), hop)
 
+    def _caller_left(self, hop):
+        self.core.caller_left(now_us(), hop)
+
     def _server_progress(self, hop):
         self.core.server_progress(now_us(), hop)
 
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -182,6 +182,9 @@
             raise PlatformError("a set-up with this id is open already", "set-up")
         if call_id in self.calls:
             raise PlatformError("the id belongs to another call", "set-up")
+        if connection.peer_closed:
+            self._increment("left by a lost connection")
+            return
         connection.last_setup_at = now
         self._prove_connection(now, connection)
         within_us = setup.within_us
@@ -303,14 +306,25 @@
             self._cancel_seizure(now, call.seizure, io.CANCELLED, True)
         self.finished_calls.append(call)
 
+    def caller_left(self, now, key):
+        """Handles a caller's close that lies behind messages that are not read yet: nobody waits for the answers to its
+        set-ups any more. The other messages count as before."""
+        connection = self.connections.get(key)
+        if connection is not None:
+            connection.peer_closed = True
+            self._abandon_setups(now, connection)
+
+    def _abandon_setups(self, now, connection):
+        for call in list(connection.setups.values()):
+            self._increment("left by a lost connection")
+            self._abandon(now, call, "its connection has ended")
+
     def caller_lost(self, now, key):
         """Handles the end of a caller's connection: its open set-ups are dropped, established calls continue."""
         connection = self.connections.pop(key)
         if connection is None:
             return
-        for call in list(connection.setups.values()):
-            self._increment("left by a lost connection")
-            self._abandon(now, call, "its connection has ended")
+        self._abandon_setups(now, connection)
         for call_id in list(connection.established):
             self.calls[call_id].remove_caller_connection(connection)
         self.named_calls.connection_ended(connection)
--- a/thorndale/platform/callers.py
+++ b/thorndale/platform/callers.py
@@ -13,7 +13,8 @@
     set up on it; `unanswered_releases`: call ids of the releases sent on it without an answer. `proven`: a usable
     set-up or a caller's release arrived on it; `confirmed`: a central server has answered a set-up of it, or released a
     call that was named on it, so its peer is a caller; `answers_releases`: a release sent on it was answered.
-    `has_offers`: the waiting releases were offered on it. Times are whole microseconds."""
+    `has_offers`: the waiting releases were offered on it; `peer_closed`: its peer has closed it, and some of what it
+    wrote before that is still to be read. Times are whole microseconds."""
 
     __slots__ = (
         "key",
@@ -24,6 +25,7 @@
         "confirmed",
         "answers_releases",
         "has_offers",
+        "peer_closed",
         "opened_at",
         "last_used_at",
         "last_setup_at",
@@ -32,7 +34,7 @@
     def __init__(self, key, now):
         self.key, self.setups, self.proven, self.answers_releases = key, {}, False, False
         self.established, self.unanswered_releases = set(), set()
-        self.has_offers = self.confirmed = False
+        self.has_offers = self.confirmed = self.peer_closed = False
         self.opened_at, self.last_used_at, self.last_setup_at = now, now, now
 
     def is_needed(self):
