Fail an unsafe call whose id comes again after an attempt that may have run

Cause: a call that was given up after its INVITE was written left nothing behind but the CANCEL. Change: SentIds remembers the latest attempt of each call that was sent, for 30 s, within the bound of the memory limit; the module gets it with the new call and applies the semantics of the class. Safe calls run again as before, since a caller may send a set-up again whose connection ended under it; an id that was sent nowhere does for every class. Evidence: test_an_unsafe_id_that_comes_again_after_its_client_left_runs_once fails on the code before.

--- a/tests/platform/test_client_state.py
+++ b/tests/platform/test_client_state.py
@@ -182,3 +182,14 @@
         rig.deliver("caller_lost", number)
     rig.advance(2 * rig.core.named_calls.retention_us)
     assert len(rig.core.connections) == 1 and not rig.core.calls and len(rig.core.timers) <= 5
+
+
+def test_the_ids_of_calls_that_were_sent_are_bounded_and_forgotten():
+    rig, bound = small_rig()
+    for call in identifiers(1 << 40, bound + 500):
+        rig.setup(call=call, number=call.hex().encode())
+        rig.answer(*rig.last_invite())
+        rig.release(call)
+    assert len(rig.core.sent_ids) == bound
+    rig.advance(31 * S)
+    assert len(rig.core.sent_ids) == 0
--- a/tests/platform/test_platform_border.py
+++ b/tests/platform/test_platform_border.py
@@ -1,7 +1,7 @@
 """The core on the platform: one final answer for each call and one end for each seizure, in every order of events."""
 
 import pytest
-from platform_rig import ANSWER, BODY, HOSTS, MS, SETTINGS, Rig, S, entry
+from platform_rig import ANSWER, BODY, HOSTS, MS, SETTINGS, Rig, S, entry, setup_values
 
 from thorndale import interface as io
 from thorndale.platform import isup, outcomes
@@ -587,3 +587,38 @@
     rig.open_dialled()
     rig.advance(400 * MS)
     assert len(rig.invites()) == (2 if end == "full" else 1) and "c" not in rig.received_by
+
+
+# Operators' picture (c): an id ran twice when it came again after its client had left.
+@pytest.mark.parametrize("leaves", ["closes", "gives up"])
+def test_an_unsafe_id_that_comes_again_after_its_client_left_runs_once(leaves):
+    rig = rig_of_unsafe_calls()
+    call = rig.setup()
+    rig.caller("d")
+    if leaves == "closes":
+        rig.deliver("caller_lost", "c")
+    else:
+        rig.release(call)
+    rig.setup("d", call=call)
+    assert len(rig.invites()) == 1 and causes(rig, "d") == [(isup.RELEASE, 41)]
+    rig.advance(31 * S)
+    assert len(rig.core.sent_ids) == 0
+
+
+def test_an_id_that_comes_again_runs_if_it_was_sent_nowhere_or_is_safe():
+    rig = Rig()
+    rig.open_dialled()
+    call = rig.setup()
+    rig.caller("d")
+    rig.deliver("caller_lost", "c")
+    rig.setup("d", call=call)
+    rig.open_dialled()
+    assert len(rig.invites()) == 2, "a safe call may run again"
+    rig = rig_of_unsafe_calls()
+    data = isup.encode(isup.SETUP, bytes(7) + b"\1", *setup_values())
+    rig.core.caller_left(rig.now, "c")
+    for message in isup.Framer().feed(data):
+        rig.deliver("caller_message", "c", message)
+    rig.caller("d")
+    rig.setup("d", call=bytes(7) + b"\1")
+    assert len(rig.invites()) == 1 and "c" not in rig.received_by
--- a/thorndale/interface.py
+++ b/thorndale/interface.py
@@ -77,6 +77,14 @@
     """A request for the server list has failed; the last list stays in force."""
 
 
+class EarlierAttempt(NamedTuple):
+    """The latest attempt that was sent for an earlier set-up with the same id, which may have run. `sent_at_us`: when
+    the first one was sent."""
+
+    server: int
+    sent_at_us: int
+
+
 class Call(NamedTuple):
     """A call has arrived at this proxy, which owes it one final answer within answer_within_us."""
 
@@ -88,6 +96,7 @@
     pool: int  # first choice
     redial: bool
     reattempt: bool  # it was answered and then cut, and is set up anew
+    earlier: EarlierAttempt | None = None
 
 
 class Answered(NamedTuple):
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -24,6 +24,7 @@
 from thorndale.platform.links import AbandonedSetups, CentralServer, Link
 from thorndale.platform.named_calls import NamedCalls
 from thorndale.platform.releases import Releases
+from thorndale.platform.sent_ids import SentIds
 from thorndale.platform.shutdown import Shutdown
 from thorndale.timers import Timers
 
@@ -40,7 +41,7 @@
         self.centrals, self.by_index, self.next_index = {}, {}, 0
         self.releases, self.finished_calls = Releases(self.connections, send, self._increment, config.state_bound), []
         self.ended_calls = EndedCalls(config.state_bound)
-        self.abandoned = AbandonedSetups(config.state_bound)
+        self.abandoned, self.sent_ids = AbandonedSetups(config.state_bound), SentIds(config.state_bound)
         self.named_calls = NamedCalls(config.state_bound, config.settings["type_hold_us"])
         self.shutdown, self.probes_sent = None, 0  # shutdown: the plan, once the process has to end
         self.call_types = {call_type.index: call_type for call_type in config.call_types.values()}
@@ -194,7 +195,7 @@
                 return
             within_us = self.shutdown.allowed_us(now, within_us)
         call = Call(connection, call_id, setup, call_type)
-        call.index = self.decision_host.assign_index(call)
+        call.index, call.earlier = self.decision_host.assign_index(call), self.sent_ids.find(call_id)
         self.calls[call_id] = connection.setups[call_id] = call
         self._increment("set-ups")
         self._log_call(
@@ -215,6 +216,7 @@
                 setup.pool,
                 setup.redial,
                 setup.reattempt,
+                call.earlier,
             )
         )
 
@@ -259,17 +261,17 @@
         call.add_caller_connection(connection)
         excess_call = self.named_calls.add(now, call, connection)
         if excess_call is not None:
-            self._forget_named(excess_call, "too many calls are named")
+            self._forget_named(now, excess_call, "too many calls are named")
         self._log_call(call, "taken up", connection=connection.key, server=central.name)
         if not central.links:
             self._open_link(now, central)
 
-    def _forget_named(self, call, why):
+    def _forget_named(self, now, call, why):
         """Stops holding a call that this process knows by its caller's word only. Nothing is sent: if its server
         releases it later, its caller hears that when it names the call again."""
         self._increment("namings given up")
         self._log_call(call, "given up", server=call.central.name, why=why)
-        self._remove_established(call)
+        self._remove_established(now, call)
         self._forget_unused(call.central)
 
     def _named_while_held(self, now, connection, call):
@@ -300,7 +302,7 @@
     def _abandon(self, now, call, why):
         """Drops a call that is being set up, whose caller needs no further answer."""
         self._log_call(call, "given up", why=why)
-        self._finish_call(call)
+        self._finish_call(now, call)
         self.decision_host.add_event(io.CallerAbandoned(call.index))
         if call.seizure is not None:
             self._cancel_seizure(now, call.seizure, io.CANCELLED, True)
@@ -335,9 +337,11 @@
         connection = self.connections.get(key)
         return connection is not None and connection.is_needed()
 
-    def _finish_call(self, call):
+    def _finish_call(self, now, call):
         """Marks a call as finished and removes it from the tables."""
         call.finished, call.description = True, b""
+        if call.forwarded:
+            self.sent_ids.record(now, call.id, call.earlier)
         self.calls.pop(call.id, None)
         if call.connection is not None:
             call.connection.setups.pop(call.id, None)
@@ -372,6 +376,8 @@
             sip.invite(call.hex_id, 1, call.number, call.call_type.name, seizure.deadline - now, call.description),
         ):
             seizure.sent_at, call.forwarded = now, True
+            first_sent_at = call.earlier.sent_at_us if call.earlier else now
+            call.earlier = io.EarlierAttempt(seizure.central.index, first_sent_at)
             seizure.central.count("sent")
             self._log_call(call, "sent", server=seizure.central.name, link=seizure.link.key, attempt=seizure.number)
 
@@ -572,7 +578,7 @@
         self._log_call(call, "over", server=central.name, outcome=outcomes.NAMES[outcome])
         self.ended_calls.record(now, call.id, central.name, cause)
         central.count("completed" if outcome == io.COMPLETED else "cut")
-        self._remove_established(call)
+        self._remove_established(now, call)
         if call.index >= 0:
             self.decision_host.add_event(
                 io.SeizureEnded(call.index, call.seizure_count - 1, central.index, outcome, 0, 0, True, report)
@@ -580,12 +586,12 @@
             self.finished_calls.append(call)
         self._forget_unused(central)
 
-    def _remove_established(self, call):
+    def _remove_established(self, now, call):
         call.central.established.pop(call.id, None)
         for connection in call.caller_connections:
             call.remove_caller_connection(connection)
         self.named_calls.remove(call)
-        self._finish_call(call)
+        self._finish_call(now, call)
 
     def _cut_established(self, now, central, why, proved=True):
         """Ends all established calls of a server that was proved dead (`proved`) or could not be reached for too
@@ -678,17 +684,17 @@
             if call.seizure is not None and call.seizure.number == action.seizure:
                 self._cancel_seizure(now, call.seizure, io.CANCELLED, True)
         elif action_type is io.Reject:
-            self._refuse_call(call, outcomes.REJECTED, action.reason, action.comeback_us)
+            self._refuse_call(now, call, outcomes.REJECTED, action.reason, action.comeback_us)
             self._increment("rejected")
         elif action_type is io.Fail:
             self._refuse_call(
-                call, outcomes.ENGAGED if call.last_outcome == io.BUSY else outcomes.FAILED, action.reason
+                now, call, outcomes.ENGAGED if call.last_outcome == io.BUSY else outcomes.FAILED, action.reason
             )
             self._increment("failed")
 
-    def _refuse_call(self, call, cause, why, comeback_us=0):
+    def _refuse_call(self, now, call, cause, why, comeback_us=0):
         key = call.connection.key
-        self._finish_call(call)
+        self._finish_call(now, call)
         accepted = self.send.to_caller(key, isup.release(call.id, cause, comeback_us))
         self._log_call(
             call, "refused", connection=key, cause=cause, why=why, taken=accepted, attempts=call.seizure_count
@@ -723,8 +729,9 @@
         self.releases.maintain(now)
         self.ended_calls.expire(now)
         self.abandoned.expire(now)
+        self.sent_ids.expire(now)
         for call in self.named_calls.expired(now):
-            self._forget_named(call, "its caller has gone")
+            self._forget_named(now, call, "its caller has gone")
         for central in list(self.centrals.values()):
             for link in list(central.links):
                 action = central.check_silence(link, now)
--- a/thorndale/platform/calls.py
+++ b/thorndale/platform/calls.py
@@ -8,7 +8,8 @@
     INVITE was written for it. `index` is the call's number at the module, -1 if the module has none. `central`: the
     server at which it is established, else None. `last_outcome`: of its latest seizure, else -1. `tried_servers`: the
     central servers at which it had seizures. `caller_connections`: once established, the open connections on which its
-    caller has set it up or named it, oldest first."""
+    caller has set it up or named it, oldest first. `earlier`: the io.EarlierAttempt for a set-up with the same id, this
+    one's own attempts included."""
 
     __slots__ = (
         "connection",
@@ -26,6 +27,7 @@
         "forwarded",
         "tried_servers",
         "caller_connections",
+        "earlier",
     )
 
     def __init__(self, connection, call_id, setup, call_type):
@@ -38,7 +40,7 @@
         )
         self.description, self.index, self.seizure, self.seizure_count = setup.description, -1, None, 0
         self.central, self.last_outcome, self.finished, self.forwarded, self.tried_servers = None, -1, False, False, ()
-        self.caller_connections = ()
+        self.caller_connections, self.earlier = (), None
 
     def add_caller_connection(self, connection):
         """Records that the caller of the established call has used this connection for it. Beyond the limit, the oldest
--- a/thorndale/policy.py
+++ b/thorndale/policy.py
@@ -157,7 +157,8 @@
         self.forwarded = False  # the server of the seizure in flight has carried the call on
         self.want, self.target_server, self.reason = "new", 0, io.Reason.UNSPECIFIED
         # Of the latest attempt; of the first one that may have run: its server, -1 if there is none, and when it went.
-        self.sent_at, self.run_server, self.run_sent_at = 0, -1, 0
+        self.sent_at = 0
+        self.run_server, self.run_sent_at = event.earlier or (-1, 0)
 
     def reject(self, reason):
         self.want, self.reason = "reject", reason
@@ -777,6 +778,8 @@
             pending.fail(io.Reason.DEADLINE_PASSED)
         elif pending.seizure >= 0:
             pending.want = "keep"
+        elif pending.want in ("new", "again") and self._repeat_until(pending) <= self.now:
+            pending.reject(io.Reason.NOT_REPEATABLE)
         elif pending.want == "new":
             refused_redial = not pending.full_revenue and self.now < self.redials_refused_until
             server = -1 if refused_redial else self._route(pending)
@@ -789,8 +792,6 @@
                     self.first_setups[server][self._roll_window(server)] += 1
                 pending.want, pending.target_server = "seize", server
                 self._record_seizure(pending, server)
-        elif pending.want == "again" and self._repeat_until(pending) <= self.now:
-            pending.reject(io.Reason.NOT_REPEATABLE)
         elif pending.want == "again":
             server = self._route(pending, pending.failed_server)
             reason = self._retry_refusal(pending, server)
