Take a server for gone once the list gives its address to another one

Cause: the old server was dialled again at its old address until the list told its end, and the new one answered there. Change: a server whose address a later event of the list gives to another one counts as gone, for the module as well; so it stays while it is only told again at that address, and serves again at another one. Of servers of one event, the one that started last has the address; equal ones displace none. Evidence: test_a_new_server_at_the_address_of_an_old_one_displaces_it_before_the_end_of_the_old_one_is_told fails on the code before.

--- a/tests/platform/test_platform_border.py
+++ b/tests/platform/test_platform_border.py
@@ -622,3 +622,57 @@
     rig.caller("d")
     rig.setup("d", call=bytes(7) + b"\1")
     assert len(rig.invites()) == 1 and "c" not in rig.received_by
+
+
+# Operators' picture (d): a new server came up at the address of one that had gone and was taken for the old one.
+@pytest.mark.parametrize("told", ["as a change", "with the whole list"])
+def test_a_new_server_at_the_address_of_an_old_one_displaces_it_before_the_end_of_the_old_one_is_told(told):
+    rig = Rig()
+    rig.open_dialled()
+    call = rig.setup(figures=b"dest:0;width:1")
+    key, invite = rig.last_invite()
+    rig.answer(key, invite)
+    assert rig.core.links[key].central.name == "s-0000000a"
+    for lost in [key for key, link in rig.core.links.items() if link.central.name == "s-0000000a"]:
+        rig.deliver("server_lost", lost, "lost")  # its process has died, and another listens at its address by now
+    rig.open_dialled()
+    new = entry("s-0000000c", "127.0.1.1", io.SERVING, pool=1, started=1_000_001)
+    if told == "as a change":
+        rig.change_list(2, new)
+    else:
+        old = [entry("s-0000000a", "127.0.1.1", io.SERVING), entry("s-0000000b", "127.0.1.2", io.SERVING, 1)]
+        rig.change_list(2, new, *old, whole=True)
+    rig.open_dialled()
+    assert causes(rig) == [(isup.ANSWER, 0), (isup.RELEASE, 41)], "the old server's calls have ended with its process"
+    before = len(rig.invites())
+    for _ in range(10):
+        rig.setup(figures=b"dest:0;width:1")
+        rig.advance(50 * MS)
+    assert {rig.core.links[key].central.name for key, _ in rig.invites()[before:]} <= {"s-0000000b", "s-0000000c"}
+    assert not any(m.call == call.hex() and m.method == "BYE" for key in rig.core.links for m in rig.sent.get(key, ()))
+    draining = entry("s-0000000a", "127.0.1.1", io.DRAINING)
+    for number, event in ((3, [draining]), (4, [entry("s-0000000b", "127.0.1.2", io.SERVING, 1), draining, new])):
+        rig.change_list(number, *event, whole=len(event) > 1)
+        assert {c.name for c in rig.core.centrals.values() if c.state == io.SERVING} == {"s-0000000b", "s-0000000c"}
+    rig.change_list(5, entry("s-0000000a", "127.0.1.1", io.GONE))
+    assert set(rig.core.centrals) == {"s-0000000b", "s-0000000c"}
+
+
+def test_servers_that_change_addresses_with_one_event_displace_none():
+    rig = Rig()
+    rig.change_list(2, entry("s-0000000a", "127.0.1.2", io.SERVING), entry("s-0000000b", "127.0.1.1", io.SERVING, 1))
+    assert {central.state for central in rig.core.centrals.values()} == {io.SERVING}
+
+
+def test_a_displaced_server_serves_again_once_it_is_listed_at_another_address():
+    rig = Rig()
+    rig.open_dialled()
+    rig.change_list(2, entry("s-0000000c", "127.0.1.1", io.SERVING, 1))
+    rig.change_list(3, entry("s-0000000a", "127.0.1.7", io.SERVING))
+    rig.advance(S)
+    rig.open_dialled()
+    assert rig.core.centrals["s-0000000a"].state == io.SERVING and rig.core.centrals["s-0000000c"].state == io.SERVING
+    rig.setup(figures=b"dest:0;width:1")
+    rig.open_dialled()
+    key, _ = rig.last_invite()
+    assert next(host for k, host, _ in rig.dialled if k == key) == "127.0.1.7"
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -21,7 +21,7 @@
 from thorndale.platform.ended_calls import EndedCalls
 from thorndale.platform.errors import PlatformError
 from thorndale.platform.feed import replay
-from thorndale.platform.links import AbandonedSetups, CentralServer, Link
+from thorndale.platform.links import AbandonedSetups, CentralServer, Link, displaced_servers
 from thorndale.platform.named_calls import NamedCalls
 from thorndale.platform.releases import Releases
 from thorndale.platform.sent_ids import SentIds
@@ -38,7 +38,7 @@
         self.decision_host, self.timers = ModuleHost(module), Timers()
         self.connections = CallerConnections()
         self.calls, self.links = {}, {}  # calls by id, being set up or established; links by key
-        self.centrals, self.by_index, self.next_index = {}, {}, 0
+        self.centrals, self.by_index, self.next_index, self.list_events = {}, {}, 0, 0
         self.releases, self.finished_calls = Releases(self.connections, send, self._increment, config.state_bound), []
         self.ended_calls = EndedCalls(config.state_bound)
         self.abandoned, self.sent_ids = AbandonedSetups(config.state_bound), SentIds(config.state_bound)
@@ -60,7 +60,8 @@
         self._apply_entries(now, event.entries, event.whole, False)
 
     def _apply_entries(self, now, entries, whole, from_disk):
-        changes, listed_names = [], set()
+        changed, listed_names = {}, set()  # changed: CentralServers, as the keys of a dict
+        self.list_events += 1
         for entry in entries:
             listed_names.add(entry.name)
             central = self.centrals.get(entry.name)
@@ -78,16 +79,23 @@
             if central.started_us != started_us and central.state >= 0 and entry.state == io.SERVING:
                 self._cut_established(now, central, "restarted")
             moved = (central.host, central.port) != (entry.host, entry.port)
-            central.host, central.port, central.pool = entry.host, entry.port, entry.pool
-            central.state, central.started_us = entry.state, started_us
+            central.host, central.port, central.pool, central.zone = entry.host, entry.port, entry.pool, entry.zone
+            central.state, central.started_us, central.displaced = entry.state, started_us, False
             if moved:  # only now, so that the links for established calls are opened to the new address
+                central.address_since = self.list_events
                 for link in list(central.links):
                     self._drop_link(now, link)
-            changes.append(io.Server(central.index, central.pool, entry.state, started_us, entry.zone))
+            changed[central] = None
         for central in list(self.centrals.values()):
-            if whole and central.name not in listed_names and central.state != io.GONE:
-                central.state = io.GONE
+            if whole and central.name not in listed_names and (central.state != io.GONE or central.displaced):
+                central.state, central.displaced = io.GONE, False
                 self._withdraw_unsent(now, central)
+        for central in displaced_servers(self.centrals.values()):
+            self.send.log("server displaced", server=central.name, host=central.host, port=central.port)
+            central.state, central.displaced = io.GONE, True
+            self._withdraw_unsent(now, central)
+            changed[central] = None
+        changes = [io.Server(c.index, c.pool, c.state, c.started_us, c.zone) for c in changed]
         if changes or whole:
             self.decision_host.add_event(io.Servers(tuple(changes), whole, from_disk))
         for central in list(self.centrals.values()):
@@ -107,7 +115,7 @@
             self._forget_unused(central)
 
     def _forget_unused(self, central):
-        if central.state == io.GONE and not central.links and not central.established:
+        if central.state == io.GONE and not (central.displaced or central.links or central.established):
             self.centrals.pop(central.name, None)
             self.by_index.pop(central.index, None)
 
--- a/thorndale/platform/links.py
+++ b/thorndale/platform/links.py
@@ -86,7 +86,9 @@
 
 
 class CentralServer:
-    """A central server as this proxy observes it. `established` is {call id: Call}, `started_us` 0 without a late
+    """A central server as this proxy observes it. `address_since`: number of the list event that gave it its address;
+    `displaced`: it is still listed, while another server has that address.
+    `established` is {call id: Call}, `started_us` 0 without a late
     start. `event_counts` counts socket events, to be compared in the log with the module's estimates. `unsent`:
     messages about established calls that go out on the next connection that opens, the latest `limit` of them.
     `proved_dead`: the server was proved dead since this process has known it, so any call that a caller reports as
@@ -101,6 +103,9 @@
         "host",
         "port",
         "pool",
+        "zone",
+        "address_since",
+        "displaced",
         "state",
         "started_us",
         "links",
@@ -116,7 +121,8 @@
 
     def __init__(self, index, name, limit):
         self.index, self.name = index, name
-        self.host, self.port, self.pool, self.state, self.started_us = "", 0, -1, -1, 0
+        self.host, self.port, self.pool, self.zone, self.state, self.started_us = "", 0, -1, -1, -1, 0
+        self.address_since, self.displaced = 0, False
         self.links, self.established, self.unreachable_since = [], {}, 0
         self.next_connect_at, self.failures, self.last_lost_at = 0, 0, -1
         self.replacement_needed_since = None
@@ -201,3 +207,22 @@
             return "dead" if link.is_dead(now) else ""
         is_busy = link.in_flight or self.established
         return "probe" if now - link.last_received_at > (BUSY_SILENCE_US if is_busy else IDLE_SILENCE_US) else ""
+
+
+def displaced_servers(centrals):
+    """The listed servers whose address the list has given to another one since: the address of a server that has gone
+    may be that of a new one, which can be told before the end of the old one. Of servers that came with one event, the
+    one that started last has the address; if that does not tell them apart, none counts as displaced."""
+    holders = {}
+    for central in centrals:
+        if central.state != io.GONE:
+            holders.setdefault((central.host, central.port), []).append(central)
+    displaced = []
+    for sharing in holders.values():
+        latest = max(_address_age(central) for central in sharing)
+        displaced += [central for central in sharing if _address_age(central) < latest]
+    return displaced
+
+
+def _address_age(central):
+    return central.address_since, central.started_us
