Read a peer that sends at full speed one piece a turn, so that others wait less

Change: after a turn that did not empty the socket, a connection gets one piece a turn until one that does. The eight pieces stay for input that gathered while the process stood still: what follows a message may cancel it. Evidence: test_a_peer_that_sends_faster_than_it_is_read_gets_one_read_a_turn fails with eight reads.

--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -1,6 +1,7 @@
 """Sockets on loopback: framing across segments, half-open and slow peers, unreachable ports, IPv4 and IPv6."""
 
 import asyncio
+import contextlib
 import gc
 import socket
 import struct
@@ -11,6 +12,7 @@
 
 from thorndale.config.settings import Limits
 from thorndale.net.clock import now_us
+from thorndale.net.connection import READ_BYTES, READS_PER_BATCH
 from thorndale.net.transport import TransportLayer
 from thorndale.sip.transaction import Hop
 from thorndale.standins.ports import reserve_port
@@ -155,6 +157,32 @@
     on_loop(test, unsent_bytes=200_000)
 
 
+# Operators' picture (b): beside one peer that sends at full speed, the others' messages waited for 32 KiB of it a turn.
+def test_a_peer_that_sends_faster_than_it_is_read_gets_one_read_a_turn():
+    async def test(ends, core, port):
+        peer = socket.create_connection(("127.0.0.1", port))
+        sizes, seen = [], 0
+
+        def flush(now):
+            nonlocal seen
+            sizes.append(len(core.messages) - seen)
+            seen = len(core.messages)
+
+        core.flush = flush
+        peer.setblocking(False)
+        per_read, sent = READ_BYTES // len(MESSAGE) + 1, 0
+        with contextlib.suppress(BlockingIOError):
+            while sent < 3 * READS_PER_BATCH * READ_BYTES:  # as much as the kernel holds
+                sent += peer.send(MESSAGE * 1_000)
+        assert sent > 2 * READS_PER_BATCH * READ_BYTES, "the kernel holds too little for this test"
+        await until(lambda: len(core.messages) == sent // len(MESSAGE))
+        assert max(sizes) <= READS_PER_BATCH * per_read
+        assert sum(size > per_read for size in sizes) <= len(sizes) / 2, "each turn reads as much of it as there is"
+        peer.close()
+
+    on_loop(test)
+
+
 # Hundreds of peers that do not read could together fill the memory, each within its own limit.
 def test_peers_that_do_not_read_are_cut_before_they_fill_the_memory_together():
     async def test(ends, core, port):
--- a/thorndale/net/connection.py
+++ b/thorndale/net/connection.py
@@ -19,6 +19,7 @@
 READ_BYTES = 65_536  # size of one read
 HIGH_WATER_SHARE = 0.5  # share of the unsent bytes allowed above which the peer is not read until it reads
 READS_PER_BATCH = 8  # reads before the input is acted on: what follows a message may cancel it
+READS_WHILE_FLOODED = 1  # the same while a peer sends faster than it is read, so that the others' input waits less
 MESSAGE_TIME_FACTOR = 4  # limit for a whole message, in multiples of the limit for a pause within it
 QUEUE_ENTRY_BYTES = 64  # of memory for each queued message beside its text
 # States of Linux's TCP_INFO in which the peer has ended its direction, or reset the connection.
@@ -189,19 +190,22 @@
     async def _read(self):
         loop, owner = self.owner.loop, self.owner
         buffer = bytearray(owner.stream.read_bytes)
-        view = memoryview(buffer)
+        view, reads = memoryview(buffer), READS_PER_BATCH
         while True:
             await self.drained.wait()
             size, completed = await loop.sock_recv_into(self.sock, buffer), False
-            for reads_left in reversed(range(READS_PER_BATCH)):
+            for reads_left in reversed(range(reads)):
                 if not size or self.discarded_bytes > MAX_DISCARDED_BYTES:
                     return
+                has_more = size == len(buffer)
                 self._check_peer()
                 completed = self._deliver(view[:size]) or completed
                 try:
                     size = self.sock.recv_into(buffer) if reads_left else 0  # bytes that are read must be delivered
                 except (BlockingIOError, InterruptedError):
+                    has_more = False
                     break
+            reads = READS_WHILE_FLOODED if has_more else READS_PER_BATCH
             owner.on_batch()
             self._note_progress(completed)
 
