Tell a naming that proves nothing to its namer alone, and rank callers once a moment

What callers saw: by reading; a client that named thousands of calls at an unlisted server and closed would have had their releases sent on to the other callers, and the end of a server with thousands of calls ranked all connections anew for each release and each of its copies. Cause: a naming at an unknown or dead server, of a call that nobody has seen, became a release like any other; the list of candidates was made for each. Change: such a naming is answered on its connection and not kept. The ranking is made once for all releases of one moment. Whether a release has reached a caller is kept with it, so that a connection that closes long after it does not undo it.

--- a/tests/platform/test_client_state.py
+++ b/tests/platform/test_client_state.py
@@ -1,8 +1,9 @@
 """State that grows with what callers send: each container has a bound, costs honest callers nothing there, and is
 given back (docs/platform.md, 'Bounds')."""
 
-from platform_rig import MS, Rig, S, setup_values
+from platform_rig import MS, Rig, S, entry, setup_values
 
+from thorndale import interface as io
 from thorndale.platform import isup
 from thorndale.platform.border import MAX_BATCH_EVENTS
 
@@ -83,23 +84,34 @@
     assert len(rig.received_by["c"]) == bound + 500, "each set-up gets one answer"
 
 
-# Related to review case 6: each naming at a server that is not listed left a release until it was heard, up to 8 s.
-def test_the_releases_of_calls_named_at_an_unknown_server_are_bounded_and_given_back():
+# Related to review case 6: each naming at a server that is not listed left a release until it was heard, up to 8 s, which
+# went on to other callers when the naming connection closed.
+def test_calls_named_at_an_unknown_server_are_told_as_over_to_their_namer_alone():
     rig, bound = small_rig()
     rig.caller("bad")
-    setup_call = rig.setup()
-    key, invite = rig.last_invite()
-    rig.answer(key, invite)
-    rig.closing.add("c")
-    rig.caller("d")
-    rig.bye(key, setup_call)
-    name(rig, "bad", identifiers(1 << 50, bound + 500), server="s-00000077")
-    assert len(rig.core.releases.undelivered) == bound == len(rig.core.releases.bound)
-    rig.closing.remove("c")
+    rig.setup()
+    rig.answer(*rig.last_invite())
+    calls = identifiers(1 << 50, bound + 500)
+    name(rig, "bad", calls, server="s-00000077")
+    assert causes(rig, "bad", calls[0]) == causes(rig, "bad", calls[-1]) == [41]
+    assert not rig.core.releases.undelivered and not rig.core.calls.keys() & set(calls)
     rig.deliver("caller_lost", "bad")
     rig.advance(10 * S)
-    assert causes(rig, "bad", (1 << 50).to_bytes(8, "big")) == [41]
-    rig.advance(130 * S)
+    assert not any(causes(rig, "c", call) for call in calls)
+
+
+# The end of a server releases all of its calls at once.
+def test_releases_are_bounded_and_given_back():
+    rig, bound = small_rig()
+    rig.caller("bad")
+    for first in (1 << 50, 1 << 51):
+        name(rig, "bad", identifiers(first, bound))
+        rig.change_list(first, entry("s-0000000a", "127.0.1.1", io.SERVING, started=first >> 40))
+        rig.advance(10 * MS)
+        rig.open_dialled()
+        assert len(rig.core.releases.undelivered) == len(rig.core.releases.bound) <= bound
+    rig.deliver("caller_lost", "bad")
+    rig.advance(150 * S)
     assert not rig.core.releases.undelivered and not rig.core.releases.waiting and len(rig.core.releases.bound) == 0
 
 
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -270,7 +270,10 @@
             why = "its server is unknown" if central is None else "its server has ended it"
             fields = {"connection": connection.key, "server": setup.established_at, "why": why}
             self.send.log("call", call=call_id.hex(), did="not taken up", **fields)
-            self.releases.add(now, call_id, ended.cause if has_ended else outcomes.CUT, (connection,))
+            if has_ended or call_id in self.releases:
+                self.releases.add(now, call_id, ended.cause if has_ended else outcomes.CUT, (connection,))
+            else:  # nothing but its caller's word says that it ever stood: told there, and to nobody else
+                self.send.to_caller(connection.key, isup.release(call_id, outcomes.CUT))
             return
         call = Call(connection, call_id, setup, call_type)
         call.central, call.description = central, b""
--- a/thorndale/platform/releases.py
+++ b/thorndale/platform/releases.py
@@ -36,7 +36,8 @@
     namings until it ended; `named_connections`: of its namings since, by peers that may have read the release;
     `carriers`: keys of the open connections that accepted it; `tried_keys`: keys of all that accepted it;
     `offered_keys`: those on which it was offered while unproven; tuples, as they are short and releases may be many.
-    `waiting_since`: when it began to wait, None if it does not. `first_sent_at`: when it was first sent since the last
+    `reached_caller`: a connection that is trusted has carried it and was not lost just after; `waiting_since`: when it
+    began to wait, None if it does not. `first_sent_at`: when it was first sent since the last
     time that it waited, else None; `last_sent_at`: when it was last sent."""
 
     __slots__ = (
@@ -47,6 +48,7 @@
         "carriers",
         "tried_keys",
         "offered_keys",
+        "reached_caller",
         "waiting_since",
         "first_sent_at",
         "last_sent_at",
@@ -56,6 +58,7 @@
         self.call, self.cause, self.own_connections, self.named_connections = call, cause, own_connections, ()
         self.carriers, self.tried_keys, self.offered_keys = (), (), ()
         self.first_sent_at = self.last_sent_at = self.waiting_since = None
+        self.reached_caller = False
 
     def preferred_connections(self):
         return self.own_connections + self.named_connections
@@ -70,6 +73,7 @@
         self.undelivered = {}  # {call id: Release}
         self.waiting = OrderedDict()  # those that no connection has accepted, by call id, the longest waiting first
         self.bound = FairBound(limit)  # of call ids
+        self._ranking = (None, ())  # (when it was made, proven connections, the best first)
         self.any_answered, self.unanswered_in_row = False, 0  # unanswered_in_row is used only until the first answer
 
     def __contains__(self, call):
@@ -110,12 +114,18 @@
 
     def caller_confirmed(self, now, connection):
         """Sends the releases that only peers of unknown standing have got on a connection that is confirmed now."""
+        self._ranking = (None, ())
         for release in list(self.undelivered.values()):
-            if release.carriers and connection.key not in release.tried_keys and not self._has_trusted_carrier(release):
+            if not release.carriers or release.reached_caller:
+                continue
+            if connection.key in release.carriers:
+                release.reached_caller = True
+            elif connection.key not in release.tried_keys:
                 self._send_by(now, release, connection)
 
     def caller_proven(self, now):
         """Sends the waiting releases, now that a proven connection is open."""
+        self._ranking = (None, ())
         waiting, self.waiting = self.waiting, OrderedDict()
         for release in waiting.values():
             release.waiting_since = None
@@ -123,10 +133,12 @@
 
     def connection_ended(self, now, connection):
         """Sends the unanswered releases of a closed connection on another one."""
+        self._ranking = (None, ())
         self.bound.owner_departed(connection)
         for release in [self.undelivered[call] for call in connection.unanswered_releases]:
             if now - release.last_sent_at < self._loss_window_us():
                 release.carriers = tuple(key for key in release.carriers if key != connection.key)
+                release.reached_caller = self._has_trusted_carrier(release)
                 self._send(now, release)
 
     def _loss_window_us(self):
@@ -149,7 +161,7 @@
 
     def _keep_us(self, release):
         """How long a release is kept after it was first sent, if nobody answers it."""
-        if self._has_trusted_carrier(release):
+        if release.reached_caller:
             return max(DELIVERY_US, self._loss_window_us())
         return MAX_DELIVERY_US
 
@@ -203,10 +215,10 @@
             for release in self.undelivered.values()
         )
 
-    def _candidates(self, release):
-        """Connections that are not its own and on which it was not sent yet, the best last: those of confirmed callers,
-        of these the ones that have answered releases, then those with open set-ups, then the one with the latest
-        set-up."""
+    def _ranked_connections(self, now):
+        """The proven connections, the best first: those of confirmed callers, of these the ones that have answered
+        releases, then those with open set-ups, then the one with the latest set-up. Made once for all releases of one
+        moment: a server's end may release thousands of calls."""
 
         def rank(connection):
             return (
@@ -216,20 +228,17 @@
                 connection.last_setup_at,
             )
 
-        usable = [
-            connection
-            for connection in self.connections.values()
-            if connection.proven and connection.key not in release.tried_keys
-        ]
-        return sorted(usable, key=rank)
+        if self._ranking[0] != now:
+            proven = (connection for connection in self.connections.values() if connection.proven)
+            self._ranking = now, sorted(proven, key=rank, reverse=True)
+        return self._ranking[1]
 
     def _send(self, now, release):
         """Sends the release on its own connections, else on the best other one; one that none accepts waits."""
         if self._send_by_preferred(now, release):
             return
-        candidates = self._candidates(release)
-        while candidates:
-            if self._send_by(now, release, candidates.pop()):
+        for connection in self._ranked_connections(now):
+            if connection.key not in release.tried_keys and self._send_by(now, release, connection):
                 return
         if release.carriers:
             return
@@ -264,6 +273,7 @@
             self.note("releases sent again")
         if connection.key not in release.tried_keys:
             release.tried_keys += (connection.key,)
+        release.reached_caller |= self._is_trusted(release, connection)
         release.last_sent_at = now
         if release.first_sent_at is None:
             release.first_sent_at = now
