Keep a caller's release for a server out of reach, and fail a used id at the end of the process

Cause: the new give-back of messages to a server without a connection also took those to a server that could not be reached for 4 s, whose process may live; and a set-up that was answered without the module, as at the end of the process, was rejected as harmless although an earlier attempt under its id may have run. Change: such messages are given back only where the server's process is proved dead; the answer without the module is cause 41 where a set-up was written under the id within 30 s.

--- a/tests/platform/test_client_state.py
+++ b/tests/platform/test_client_state.py
@@ -162,6 +162,27 @@
     assert not central.unsent
 
 
+# A caller's release must reach its server in the end, however long that one could not be reached.
+def test_a_release_for_a_server_that_cannot_be_reached_goes_out_once_it_can():
+    rig, _ = small_rig()
+    rig.setup()
+    key, invite = rig.last_invite()
+    rig.answer(key, invite)
+    central = rig.core.links[key].central
+    for lost in [key for key, link in rig.core.links.items() if link.central is central]:
+        rig.deliver("server_lost", lost, "lost")
+    rig.release(bytes.fromhex(invite.call))
+    assert len(central.unsent) == 1
+    for _ in range(100):
+        for dialled in [key for key, link in rig.core.links.items() if link.central is central]:
+            rig.deliver("server_lost", dialled, "unreached")
+        rig.advance(100 * MS)
+    rig.advance(2 * S)
+    rig.open_dialled()
+    assert any(m.method == "BYE" and m.call == invite.call for sent in rig.sent.values() for m in sent)
+    assert not central.unsent
+
+
 def test_ended_calls_are_bounded_and_forgotten_without_another_event():
     rig, bound = small_rig()
     key = next(key for key, link in rig.core.links.items() if link.central.name == "s-0000000a")
--- a/tests/platform/test_platform_border.py
+++ b/tests/platform/test_platform_border.py
@@ -601,6 +601,12 @@
         rig.release(call)
     rig.setup("d", call=call)
     assert len(rig.invites()) == 1 and causes(rig, "d") == [(isup.RELEASE, 41)]
+    rig.advance(S)
+    rig.core.stop(rig.now)
+    rig.advance(800 * MS)
+    rig.caller("e")
+    rig.setup("e", call=call)
+    assert causes(rig, "e") == [(isup.RELEASE, 41)], "at the end of the process too"
     rig.advance(31 * S)
     assert len(rig.core.sent_ids) == 0
 
--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -182,9 +182,9 @@
         self.send.end_caller(connection.key)
 
     def _answer_without_module(self, now, call, why):
-        """Gives a set-up its final answer without the module: rejected if nothing was sent to a server for it, else
-        failed."""
-        cause = outcomes.FAILED if call.forwarded else outcomes.REJECTED
+        """Gives a set-up its final answer without the module: rejected if nothing was sent to a server under its id,
+        else failed."""
+        cause = outcomes.FAILED if call.earlier else outcomes.REJECTED
         self.send.to_caller(call.connection.key, isup.release(call.id, cause))
         self._abandon(now, call, why)
 
@@ -251,7 +251,8 @@
     def _refuse_at_shutdown(self, connection, call_id):
         self._increment("refused at shutdown")
         self.send.log("call", call=call_id.hex(), did="refused", connection=connection.key, why="the process is ending")
-        self.send.to_caller(connection.key, isup.release(call_id, outcomes.REJECTED))
+        cause = outcomes.FAILED if self.sent_ids.find(call_id) else outcomes.REJECTED
+        self.send.to_caller(connection.key, isup.release(call_id, cause))
 
     def _resume_established(self, now, connection, call_id, setup, call_type):
         """Resumes a call established before a restart of this proxy, or on another connection: its caller names the
@@ -617,7 +618,8 @@
         """Ends all established calls of a server that was proved dead (`proved`) or could not be reached for too
         long."""
         central.proved_dead |= proved
-        central.unsent.clear()
+        if proved:
+            central.unsent.clear()
         if central.established:
             self.send.log("calls cut", server=central.name, calls=len(central.established), why=why)
         for call in list(central.established.values()):
