Keep an unanswered feed connection and ask beside it, so that a slow feed is heard

Cause: one timer of 1.7 s, started when the connection was up, served as wait for the first frame and for later ones, and closed the connection that was about to answer; the next one waited no longer.

Change: platform/feed_connections.py decides, without I/O. Connection, first frame, later frames and the rest of a frame are waits of their own. An unanswered connection is kept, and after a pause the feed is asked on another one beside it; whichever answers first is followed and the others are closed. So neither a slow feed nor a mute connection has to be guessed at. The former feed is read until the new one has answered. Pauses grow and are drawn; a connection with unread input is not judged. The log tells what was waited for.

--- a/thorndale/node/follow.py
+++ b/thorndale/node/follow.py
@@ -1,111 +1,78 @@
-"""Client of the control feed: requests the events after the last one received, and reconnects after each break, silence
-or error."""
+"""Client of the control feed: the sockets and the timer round `FeedConnections`, which decides when to connect, to ask
+and to close."""
 
+from thorndale.net.clock import now_us
 from thorndale.net.connection import Stream
 from thorndale.net.tcp import Tcp
 from thorndale.platform import feed
 from thorndale.platform.errors import PlatformError
+from thorndale.platform.feed_connections import FeedConnections
 
-SILENCE_TIMEOUT_S = 1.7  # without a byte; the feed sends an empty frame every second
-MIN_RETRY_S = 0.05  # first pause before reconnecting, doubled up to the maximum
-MAX_RETRY_S = 0.5
-# After a request, empty frames that name an event not yet received are ignored for this time: the event may follow.
-EMPTY_FRAME_GRACE_S = 0.5
+READ_BYTES = 4_096
+WARNINGS = frozenset(("control feed broken", "control feed lost"))
 
 
 class FeedClient:
-    """Calls `on_event(event)` for each new event, in order, and `on_batch()` after one or more. `reconfigure(address,
-    known)` on SIGHUP."""
+    """Calls `on_event(event)` for each new event, in order, and `on_batch()` after one or more. `rng`: a seeded
+    `random.Random`. `reconfigure(address, known)` on SIGHUP."""
 
-    def __init__(self, loop, bounds, address, last, on_event, on_batch, log_event):
+    def __init__(self, loop, bounds, address, last, rng, on_event, on_batch, log_event):
         self.loop, self.address, self.feed = loop, address, feed.Feed(last)
         self.on_event, self.on_batch, self.log_event = on_event, on_batch, log_event
+        self.timer, self.timer_at, self.closed = None, 0, False
         self.tcp = Tcp(
             loop,
             bounds,
             self._frame_received,
             self._lost,
             on_batch,
-            Stream(feed.Framer, (PlatformError,), 4096, "unreached", "spoilt"),
+            Stream(feed.Framer, (PlatformError,), READ_BYTES, "unreached", "spoilt"),
             on_open=self._opened,
-            on_progress=self._progress,
+            on_progress=self._partial_received,
         )
-        self.hop, self.retry_s, self.reconnect_timer, self.silence_timer, self.requested_at = (
-            None,
-            MIN_RETRY_S,
-            None,
-            None,
-            0.0,
-        )
-        self._connect()
+        self.connections = FeedConnections(self, self.feed, rng, on_event)
+        self.connections.start(now_us())
+        self._arm()
 
-    def _connect(self):
-        self.reconnect_timer = None
-        self.hop = self.tcp.connect(*self.address)
+    # ---- the sockets of FeedConnections ----
 
-    def _opened(self, hop):
-        if hop == self.hop:
-            self.tcp.send(hop, self.feed.ask())
-            self.requested_at = self.loop.time()
-            self._restart_silence_timer()
-
-    def _restart_silence_timer(self):
-        if self.silence_timer is not None:
-            self.silence_timer.cancel()
-        self.silence_timer = self.loop.call_later(SILENCE_TIMEOUT_S, self._silence_elapsed, self.hop)
-
-    def _progress(self, hop):
-        """Part of a frame has been read: a feed that writes slowly is not silent, within the limit for a message."""
-        connection = self.tcp.by_hop.get(hop)
-        if hop == self.hop and connection is not None and not connection.is_stuck(self.loop.time()):
-            self._restart_silence_timer()
+    def connect(self):
+        """Connects to the feed's present address. Returns the connection's hop."""
+        return self.tcp.connect(*self.address)
 
-    def _silence_elapsed(self, hop):
-        if hop == self.hop:
-            self._reconnect("silent")
+    def ask(self, hop):
+        self.tcp.send(hop, self.feed.ask())
 
-    def _frame_received(self, frame, hop):
-        if hop != self.hop:
-            return
-        self._restart_silence_timer()
-        try:
-            self._process(frame)
-            self.retry_s = MIN_RETRY_S
-        except PlatformError as error:
-            self._reconnect(str(error), self._next_retry())
-
-    def _process(self, frame):
-        event = feed.read(*frame)
-        if event is not None:
-            if self.feed.take(event):
-                self.on_event(event)
-        elif self.loop.time() >= self.requested_at + EMPTY_FRAME_GRACE_S:
-            self.feed.take_empty(frame[0])
-
-    def _next_retry(self):
-        """The pause before the next attempt, doubled until a valid frame is received."""
-        retry_s, self.retry_s = self.retry_s, min(MAX_RETRY_S, self.retry_s * 2)
-        return retry_s
-
-    def _reconnect(self, why, delay_s=0):
-        """Ends the connection and opens another: at once, or after a pause where invalid data was received."""
-        self.log_event("warning", "control feed broken", why=why, last=self.feed.last)
-        hop, self.hop = self.hop, None
+    def drop(self, hop):
         connection = self.tcp.by_hop.get(hop)
         if connection is not None:
             self.tcp.drop(connection)
-        self._connect_later(delay_s)
 
-    def _connect_later(self, delay_s):
-        if self.reconnect_timer is not None:
-            self.reconnect_timer.cancel()
-        self.reconnect_timer = self.loop.call_later(delay_s, self._connect)
+    def has_unread(self, hop):
+        """Whether input of this connection is waiting in its socket."""
+        connection = self.tcp.by_hop.get(hop)
+        return connection is not None and connection.established and connection.has_unread()
+
+    def log(self, event, **fields):
+        self.log_event("warning" if event in WARNINGS else "info", event, **fields)
+
+    # ---- events ----
+
+    def _opened(self, hop):
+        self.connections.opened(now_us(), hop)
+        self._arm()
+
+    def _partial_received(self, hop):
+        self.connections.partial_received(now_us(), hop)
+        self._arm()
+
+    def _frame_received(self, frame, hop):
+        self.connections.frame_received(now_us(), hop, frame)
+        self._arm()
 
     def _lost(self, hop, kind):
-        if hop == self.hop:
-            self.log_event("warning", "control feed lost", kind=kind, last=self.feed.last)
-            self.hop = None
-            self._connect_later(self._next_retry())
+        self.connections.lost(now_us(), hop, kind)
+        self._arm()
 
     def reconfigure(self, address, events):
         """Applies a new configuration: the new ones among its `known` events, then the feed at its new address."""
@@ -115,13 +82,34 @@
                     self.on_event(event)
             except PlatformError:  # a gap in the numbers: the feed is asked for the events after the last one
                 break
-        if address != self.address or self.hop is None:
-            self.address, self.retry_s = address, MIN_RETRY_S
-            self._reconnect("moved")
+        now = now_us()
+        if address != self.address:
+            self.address = address
+            self.connections.move(now)
+        else:
+            self.connections.hasten(now)
+        self._arm()
         self.on_batch()
 
+    # ---- the timer ----
+
+    def _arm(self):
+        """Sets the timer for the next decision; one that is set for an earlier time stays."""
+        at = self.connections.next_at()
+        if self.closed or at is None or (self.timer is not None and self.timer_at <= at):
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer_at = at
+        self.timer = self.loop.call_later(max(0, at - now_us()) / 1e6, self._timer_due)
+
+    def _timer_due(self):
+        self.timer = None
+        self.connections.run(now_us())
+        self._arm()
+
     async def close(self):
-        for handle in (self.reconnect_timer, self.silence_timer):
-            if handle is not None:
-                handle.cancel()
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
         await self.tcp.close()
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import os
+import random
 import time
 from typing import NamedTuple
 
@@ -32,7 +33,7 @@
 # An accepted connection without a whole message ends after this time: one that sends nothing valid must be closed
 # within 3 s.
 SILENT_MS = 2_500
-FEED_PARTIAL_MS = 1_000  # PARTIAL_MS of the control feed
+FEED_CONNECTIONS = 8  # to the control feed, with those that are closing
 SERVER_PARTIAL_MS = 1_000  # PARTIAL_MS of central servers: a slow message delays the answers behind it
 FEED_CONNECT_MS = 1_500  # limit for a connection to the control feed to come up, before another is tried
 IDLE_US = 8_000_000  # time after which a caller's connection on which nothing is owed is closed
@@ -99,9 +100,10 @@
         self.core.start(now_us())
         self.feed = FeedClient(
             self.loop,
-            Bounds(4, min(self.config.connect_us / 1000, FEED_CONNECT_MS), partial_ms=FEED_PARTIAL_MS),
+            Bounds(FEED_CONNECTIONS, min(self.config.connect_us / 1000, FEED_CONNECT_MS)),
             self.config.feed,
             self.config.known[0],
+            random.Random(self.config.seed),
             self._server_listed,
             self.schedule_flush,
             self.log_event,
--- a/thorndale/standins/platform.py
+++ b/thorndale/standins/platform.py
@@ -182,11 +182,14 @@
 class ControlFeed(StreamServer):
     """Serves all events from the first on. `asked`: the start numbers requested by clients. `mute`: open connections
     get no events added meanwhile; `begins_empty`: an empty frame precedes the requested events; `piece_s`: seconds
-    between the pieces of split writes; 0 writes events whole."""
+    between the pieces of split writes; 0 writes events whole. `answer_lag_s`: delay of the requested events;
+    `lag_s`: delay of everything, in connections that are opened later; `mute_until`: on the loop's clock, connections
+    opened before then get nothing at all."""
 
     def __init__(self):
         super().__init__()
         self.frames, self.asked, self.mute, self.begins_empty, self.piece_s = [], [], False, False, 0.0
+        self.lag_s, self.answer_lag_s, self.mute_until = 0.0, 0.0, 0.0
         self.writing = {}  # {writer: lock that keeps other writes from splitting an event}
 
     def add(self, kind, *records):
@@ -205,12 +208,19 @@
     async def serve(self, reader, writer):
         number = int.from_bytes(await reader.readexactly(8), "big")
         self.asked.append(number)
+        if asyncio.get_running_loop().time() < self.mute_until:
+            await reader.read()
+            return
         if self.begins_empty:
             writer.write(self._empty())
             await asyncio.sleep(0.05)
+        await asyncio.sleep(self.lag_s)
         lock = self.writing[writer] = asyncio.Lock()
         try:
-            await self._write(writer, lock, b"".join(self.frames[number:]))
+            if self.answer_lag_s:
+                self.later(self.answer_lag_s, self._answer, writer, lock, number)
+            else:
+                await self._write(writer, lock, b"".join(self.frames[number:]))
             while True:
                 await asyncio.sleep(1)
                 if not self.mute:
@@ -218,6 +228,9 @@
         finally:
             del self.writing[writer]
 
+    def _answer(self, writer, lock, number):
+        self._start_task(self._write(writer, lock, b"".join(self.frames[number:])))
+
     async def _write(self, writer, lock, data):
         """Writes events in order, whole or in pieces."""
         async with lock:
