Read streams before a late timer runs, in the daemon too

Cause: after a stall the daemon's transport layer read its datagram sockets before the late timers, but not its streams: an answer that had come by TCP was taken for a time-out, and the subscription to the pool book for lost. node/ already let the loop read first. The same rule stood in two places, in one of them by half.

Change: Alarm does it for both: a timer over its limit late lets the loop read for three turns first.

--- a/tests/net/test_net.py
+++ b/tests/net/test_net.py
@@ -5,6 +5,7 @@
 import gc
 import socket
 import struct
+import time
 
 import msgspec
 import pytest
@@ -242,7 +243,9 @@
     on_loop(test, connections=2)
 
 
-def test_a_late_timer_reads_the_sockets_first():
+# A stream was not read before a late timer ran, so that an answer which had come by TCP was taken for a time-out.
+@pytest.mark.parametrize("transport", ["udp", "tcp"])
+def test_a_late_timer_reads_the_sockets_first(transport):
     async def test(ends, core, port):
         order = []
 
@@ -250,14 +253,15 @@
             def due(self, now, name):
                 order.append(len(core.messages))
 
-        core.timers.set(now_us() + 20_000, Owner(), "x")
-        ends.arm()
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
-            peer.sendto(MESSAGE, ("127.0.0.1", port))
-            import time
-
+        kind = socket.SOCK_DGRAM if transport == "udp" else socket.SOCK_STREAM
+        with socket.socket(socket.AF_INET, kind) as peer:
+            peer.connect(("127.0.0.1", port))
+            await asyncio.sleep(0.05)  # a connection is accepted
+            core.timers.set(now_us() + 20_000, Owner(), "x")
+            ends.arm()
+            peer.send(MESSAGE)
             time.sleep(0.15)  # stalls the whole process
-        await until(lambda: order)
+            await until(lambda: order)
         assert order == [1]
 
     on_loop(test)
--- a/thorndale/net/transport.py
+++ b/thorndale/net/transport.py
@@ -13,8 +13,8 @@
     """Carries bytes between sockets and a core that has `receive(now, data, hop, stream)`, `lost(now, hop, kind)`,
     `run(now, most)`, `flush(now)`, `late(now, us)` and `timers`.
 
-    After the process was stalled, the data in its sockets arrived before the timers that are due now. A late timer
-    therefore reads the sockets first; otherwise answers that have already arrived would be treated as time-outs.
+    A late timer runs after the sockets have been read (see `Alarm`); otherwise answers that have already arrived would
+    be treated as time-outs.
     """
 
     def __init__(self, loop, limits, core=None):
@@ -71,7 +71,7 @@
 
     def arm(self):
         if self.alarm is None:  # the core is attached after construction
-            self.alarm = Alarm(self.loop, self.core.timers, self._timers_due)
+            self.alarm = Alarm(self.loop, self.core.timers, self._timers_due, LATE_TIMER_US)
         self.alarm.arm()
 
     def _timers_due(self, late):
--- a/thorndale/node/shell.py
+++ b/thorndale/node/shell.py
@@ -39,7 +39,6 @@
 IDLE_US = 8_000_000  # time after which a caller's connection on which nothing is owed is closed
 SWEEP_INTERVAL_S = 0.1
 LATE_TIMER_US = 3_000  # delay of a timer above which the sockets are read before it runs
-LATE_TIMER_READS = 3  # loop iterations in which the sockets are read then
 STATUS_LOG_S = 5.0  # interval of the log lines with server status and counts
 SHUTDOWN_POLL_S = 0.02  # interval of the checks for what is still owed during shutdown
 LAST_READ_S = 0.06  # time at the end in which connections are still read, so that each is closed with nothing unread
@@ -92,7 +91,7 @@
             on_end=self._server_ended,
             on_progress=self._server_progress,
         )
-        self.alarm = Alarm(loop, self.core.timers, self._timers_due)
+        self.alarm = Alarm(loop, self.core.timers, self._timers_due, LATE_TIMER_US)
         self.feed, self.late_us, self.handles = None, 0, {}
 
     def open(self):
@@ -202,12 +201,8 @@
 
     # ---- timers ----
 
-    def _timers_due(self, late_us, reads=0):
-        """When late, lets the loop read the sockets first: a timer due with its input unread is not a time-out."""
+    def _timers_due(self, late_us):
         self.late_us = max(self.late_us, late_us)
-        if late_us > LATE_TIMER_US and reads < LATE_TIMER_READS:
-            self.handles["read first"] = self.loop.call_soon(self._timers_due, late_us, reads + 1)
-            return
         try:
             now = now_us()
             self.core.run(now)
