Look at a socket before its connection is given up after a stop

Cause: after SIGSTOP and SIGCONT libuv runs the timers that are due before it polls the sockets.

Change: when its time is over, `connect` polls the socket once and takes what the kernel says.

--- a/thorndale/net/connection.py
+++ b/thorndale/net/connection.py
@@ -9,6 +9,7 @@
 import contextlib
 import errno
 import os
+import select
 import socket
 from collections import deque
 from typing import NamedTuple
@@ -46,7 +47,8 @@
 async def connect(loop, sock, address, seconds):
     """Connects a non-blocking socket to (host, port); the host is a numeric address, never a name. Raises OSError, also
     on time-out. uvloop's `sock_connect` is not used, as it asks the resolver for each address, in one of four threads
-    that it starts for that. Nor is `wait_for`, as the exception that it raises is part of a reference cycle."""
+    that it starts for that. Nor is `wait_for`, as the exception that it raises is part of a reference cycle. After the
+    process was stopped, the timer runs before the socket is looked at, so it looks itself."""
     socket.inet_pton(sock.family, address[0].partition("%")[0])  # else `connect_ex` would resolve a name, blocking
     error = sock.connect_ex(address)
     if error in (errno.EINPROGRESS, errno.EINTR):
@@ -56,7 +58,7 @@
             if not settled.done():
                 settled.set_result(code)
 
-        timer = loop.call_later(seconds, settle, errno.ETIMEDOUT)
+        timer = loop.call_later(seconds, lambda: settle(0 if _has_connected(sock) else errno.ETIMEDOUT))
         loop.add_writer(sock, settle)
         try:
             error = await settled
@@ -68,6 +70,13 @@
         raise OSError(error, os.strerror(error))
 
 
+def _has_connected(sock):
+    """Whether the kernel has connected a socket, or failed to."""
+    poll = select.poll()
+    poll.register(sock, select.POLLOUT)
+    return bool(poll.poll(0))
+
+
 class Connection:
     """`hop` identifies the connection's messages: (tcp, host, port, 0) when opened from here, else with a number."""
 
