Read what other proxies sent before their silence is judged after a stop

Cause: the fleet's timer ran before the datagram socket was read after SIGSTOP and SIGCONT (libuv runs due timers first), so that probes counted as unanswered and lease requests as unheard whose replies lay in the socket.

Change: the fleet's timer is an Alarm; late by over 20 ms, it runs after the socket was read.

--- a/tests/node/test_stopped.py
+++ b/tests/node/test_stopped.py
@@ -8,11 +8,15 @@
 import subprocess
 import sys
 import time
+from types import SimpleNamespace
 
+import pytest
 import uvloop
 from test_crossings import LateServer
 
+from thorndale.daemon.fleet import FleetEndpoint
 from thorndale.net.connection import connect
+from thorndale.standins.ports import reserve_port
 
 CONNECT_S = 1.5
 STOP_S = 2.5
@@ -60,3 +64,42 @@
     child = start_child("connect_late", server.port)
     assert child.stdout.readline() == "begins\n"
     assert stop_while(child, lambda: asyncio.run(server.come_up(STOP_S - 0.2))) == ["connected"]
+
+
+def watch_members(own_port, other_port):
+    """Prints how many datagrams had been read when the fleet's first timer after the stop ran."""
+
+    async def main():
+        names = {"p1": own_port, "p2": other_port}
+        members = [SimpleNamespace(name=name, at=f"udp:127.0.0.1:{port}") for name, port in names.items()]
+        fleet = SimpleNamespace(members=members, listen=members[0].at, rights=False, words=False)
+        settings = SimpleNamespace(name="p1", servers=[SimpleNamespace(name="box1")], fleet=fleet)
+        border = SimpleNamespace(module_host=SimpleNamespace(module=None), deliver_events=lambda *_: None)
+        endpoint = FleetEndpoint(asyncio.get_running_loop(), settings, 1, lambda *_, **__: None, border)
+        tick, began, read_by_then = endpoint.exchange.tick, time.monotonic(), []
+
+        def observed_tick(now):
+            if time.monotonic() > began + STOP_S:
+                read_by_then.append(endpoint.count["unreadable"])
+            return tick(now)
+
+        endpoint.exchange.tick = observed_tick
+        print("begins", flush=True)
+        while not read_by_then:
+            await asyncio.sleep(1)
+        endpoint.close()
+        print(read_by_then[0])
+
+    run_on_uvloop(main())
+
+
+# After a stop, a proxy judged the others' silence before it read what they had sent meanwhile.
+@pytest.mark.parametrize("datagrams", [1, 200])
+def test_what_members_sent_while_a_proxy_was_stopped_is_read_before_their_silence_is_judged(datagrams):
+    own_port, other_port = reserve_port(), reserve_port()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+        peer.bind(("127.0.0.1", other_port))
+        child = start_child("watch_members", own_port, other_port)
+        assert child.stdout.readline() == "begins\n"
+        printed = stop_while(child, lambda: [peer.sendto(b"x", ("127.0.0.1", own_port)) for _ in range(datagrams)])
+    assert printed == [str(datagrams)]
--- a/thorndale/daemon/fleet.py
+++ b/thorndale/daemon/fleet.py
@@ -8,11 +8,14 @@
 from thorndale.fleet import wire
 from thorndale.fleet.exchange import FleetExchange
 from thorndale.fleet.members import STATES
+from thorndale.net.alarm import Alarm
 from thorndale.net.clock import now_us
 from thorndale.net.udp import Udp
 
 VIEW_PERIOD_S = 10  # between two log lines with the membership view
 BAD_DATAGRAM_LOG_PERIOD_S = 1.0  # between two log lines on bad datagrams
+LATE_TIMER_US = 20_000  # delay of a timer above which the socket is read before anybody's silence is judged
+LATE_READ_DATAGRAMS = 4_096  # read then at most
 MAX_CHANGES_PER_S = 20  # membership changes logged per second; the rest is dropped from the log
 
 
@@ -29,7 +32,7 @@
         self.member_by_address = {address: n for n, address in enumerate(self.member_addresses)}
         self.count = {"sent": 0, "heard": 0, "bytes": 0, "unlisted": 0, "unreadable": 0}
         self.last_complaint_at, self.left_out, self.changes_logged = 0.0, 0, (0, 0)
-        self.timer, self.view_at = None, time.monotonic() + VIEW_PERIOD_S
+        self.view_at = time.monotonic() + VIEW_PERIOD_S
         _, host, port = parse_listener(fleet.listen)
         try:
             self.udp = Udp(loop, host, port, self._receive, lambda hop: None, self._arm)
@@ -53,6 +56,7 @@
             getattr(border.module_host.module, "module", border.module_host.module),
         )
         self.delivery_scheduled = False
+        self.alarm = Alarm(loop, self.exchange, self._timer_due, LATE_TIMER_US)
         border.fleet = self
         self._arm()
 
@@ -111,13 +115,9 @@
             self.count["bytes"] += len(data)
 
     def _arm(self):
-        if self.timer is not None:
-            self.timer.cancel()
-        if self.closed:
-            return
-        self._schedule_delivery()
-        delay_s = max(0, self.exchange.next_at() - now_us()) / 1e6
-        self.timer = self.loop.call_later(delay_s, self._on_timer)
+        if not self.closed:
+            self._schedule_delivery()
+            self.alarm.arm()
 
     def _schedule_delivery(self):
         """Schedules the delivery of pending events to the border in a separate iteration of the event loop, because the
@@ -133,8 +133,10 @@
             self.arm_border()
             self._arm()
 
-    def _on_timer(self):
-        self.timer = None
+    def _timer_due(self, late_us):
+        """Lets the exchange judge what is overdue. If late, first reads what other proxies have sent meanwhile."""
+        if late_us > LATE_TIMER_US:
+            self.udp.read(LATE_READ_DATAGRAMS)
         now = now_us()
         if self.exchange.next_at() <= now:
             self._send(self.exchange.tick(now))
@@ -181,6 +183,5 @@
         self._send(self.exchange.leave(now_us()))
         self.view()
         self.closed = True
-        if self.timer is not None:
-            self.timer.cancel()
+        self.alarm.stop()
         self.udp.close()
