Platform: move the server list out of border.py

The server list (what a change of it means for servers, calls and connections) is now platform/server_list.py; no behaviour changes. tests/platform passes.

--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -21,10 +21,11 @@
 from thorndale.platform.ended_calls import EndedCalls
 from thorndale.platform.errors import PlatformError
 from thorndale.platform.feed import replay
-from thorndale.platform.links import AbandonedSetups, CentralServer, Link, displaced_servers
+from thorndale.platform.links import AbandonedSetups, Link
 from thorndale.platform.named_calls import NamedCalls
 from thorndale.platform.releases import Releases
 from thorndale.platform.sent_ids import SentIds
+from thorndale.platform.server_list import ServerList
 from thorndale.platform.shutdown import Shutdown
 from thorndale.timers import Timers
 
@@ -38,7 +39,6 @@
         self.decision_host, self.timers = ModuleHost(module), Timers()
         self.connections = CallerConnections()
         self.calls, self.links = {}, {}  # calls by id, being set up or established; links by key
-        self.centrals, self.by_index, self.next_index, self.list_events = {}, {}, 0, 0
         self.releases, self.finished_calls = Releases(self.connections, send, self._increment, config.state_bound), []
         self.ended_calls = EndedCalls(config.state_bound)
         self.abandoned, self.sent_ids = AbandonedSetups(config.state_bound), SentIds(config.state_bound)
@@ -46,88 +46,18 @@
         self.shutdown, self.probes_sent = None, 0  # shutdown: the plan, once the process has to end
         self.call_types = {call_type.index: call_type for call_type in config.call_types.values()}
         self.count = {}
+        self.server_list = ServerList(self)
+        self.centrals, self.by_index = self.server_list.centrals, self.server_list.by_index
+        self.server_list_changed = self.server_list.server_list_changed
 
     # ---- start and server list ----
 
     def start(self, now):
         """Applies the server list in the configuration, which the module treats as a copy from disk."""
         entries = replay(self.config.known[1]).values()
-        self._apply_entries(now, entries, True, True)
+        self.server_list.apply_entries(now, entries, True, True)
         self.timers.set(now + MAINTENANCE_PERIOD_US, self, "maintain")
 
-    def server_list_changed(self, now, event):
-        """Applies a control feed event; events arrive in order and without repeats."""
-        self._apply_entries(now, event.entries, event.whole, False)
-
-    def _apply_entries(self, now, entries, whole, from_disk):
-        self.list_events += 1
-        changed = {}  # CentralServers, as the keys of a dict: each once, in the order of the list
-        for entry in entries:
-            central = self._listed_server(entry)
-            if central is not None:
-                self._update_server(now, central, entry)
-                changed[central] = None
-        if whole:
-            self._mark_unlisted(now, {entry.name for entry in entries})
-        for central in displaced_servers(self.centrals.values()):
-            self.send.log("server displaced", server=central.name, host=central.host, port=central.port)
-            central.state, central.displaced = io.GONE, True
-            self._withdraw_unsent(now, central)
-            changed[central] = None
-        if changed or whole:
-            servers = tuple(io.Server(c.index, c.pool, c.state, c.started_us, c.zone) for c in changed)
-            self.decision_host.add_event(io.Servers(servers, whole, from_disk))
-        for central in list(self.centrals.values()):
-            if central.state == io.GONE:
-                self._server_gone(now, central)
-
-    def _listed_server(self, entry):
-        """The server of a list entry, made anew where it is not known; None if it is gone and not known."""
-        central = self.centrals.get(entry.name)
-        if central is None and entry.state != io.GONE:
-            central = CentralServer(self.next_index, entry.name, self.config.state_bound)
-            self.centrals[entry.name] = self.by_index[self.next_index] = central
-            self.next_index += 1
-        return central
-
-    def _update_server(self, now, central, entry):
-        started_us = max(1, entry.started_ms * 1000 - self.offset) if entry.started_ms else 0
-        if entry.state != io.SERVING or central.started_us != started_us:
-            self._withdraw_unsent(now, central)
-        if central.started_us != started_us and central.state >= 0 and entry.state == io.SERVING:
-            self._cut_established(now, central, "restarted")
-        moved = (central.host, central.port) != (entry.host, entry.port)
-        central.host, central.port, central.pool, central.zone = entry.host, entry.port, entry.pool, entry.zone
-        central.state, central.started_us, central.displaced = entry.state, started_us, False
-        if moved:  # only now, so that the links for established calls are opened to the new address
-            central.address_since = self.list_events
-            for link in list(central.links):
-                self._drop_link(now, link)
-
-    def _mark_unlisted(self, now, listed_names):
-        """A server that is missing in a whole list is gone."""
-        for central in list(self.centrals.values()):
-            if central.name not in listed_names and (central.state != io.GONE or central.displaced):
-                central.state, central.displaced = io.GONE, False
-                self._withdraw_unsent(now, central)
-
-    def _server_gone(self, now, central):
-        """Handles a server that the list reports as gone. Its established calls continue while a connection to it is
-        open. No new connection is opened, since another server may have its address by now. One that was opened after
-        a loss may lead to that other server, which would never release these calls, so it is closed."""
-        for link in central.links_after_loss():
-            self._drop_link(now, link)
-        if not any(link.is_open for link in central.links):
-            for link in list(central.links):
-                self._drop_link(now, link)
-            self._cut_established(now, central, "gone")
-            self._forget_unused(central)
-
-    def _forget_unused(self, central):
-        if central.state == io.GONE and not (central.displaced or central.links or central.established):
-            self.centrals.pop(central.name, None)
-            self.by_index.pop(central.index, None)
-
     # ---- callers ----
 
     def caller_opened(self, now, key):
@@ -293,7 +223,7 @@
         self._increment("namings given up")
         self._log_call(call, "given up", server=call.central.name, why=why)
         self._remove_established(now, call)
-        self._forget_unused(call.central)
+        self.server_list.forget_unused(call.central)
 
     def _named_while_held(self, now, connection, call):
         """Handles the naming of a call that this process holds: its release goes to the naming connection too."""
@@ -402,7 +332,7 @@
             seizure.central.count("sent")
             self._log_call(call, "sent", server=seizure.central.name, link=seizure.link.key, attempt=seizure.number)
 
-    def _withdraw_unsent(self, now, central):
+    def withdraw_unsent(self, now, central):
         """Withdraws unwritten set-ups from a server that is leaving or was restarted, so that the module can route them
         to another one."""
         for link in central.links:
@@ -426,7 +356,7 @@
         if link is not None:
             self._link_ended(now, link, kind)
 
-    def _drop_link(self, now, link):
+    def drop_link(self, now, link):
         """Closes a connection to a central server; set-ups in flight on it end as reset, or as not sent."""
         if self.links.pop(link.key, None) is None:
             return
@@ -456,9 +386,9 @@
                 self._end_seizure(now, seizure, outcomes.connection_outcome(kind, seizure.sent_at is not None), None)
         is_first = central.connection_failed(now)
         if kind == "refused" and not any(other.is_open for other in central.links):
-            self._cut_established(now, central, "refuses connections")
+            self.cut_established(now, central, "refuses connections")
         if central.state == io.GONE:
-            self._server_gone(now, central)
+            self.server_list.server_gone(now, central)
         elif (central.established or central.unsent) and kind in ("lost", "spoilt"):
             # The server repeats a release that was lost with the old connection on the next one that opens.
             central.replacement_needed_since = now
@@ -605,7 +535,7 @@
                 io.SeizureEnded(call.index, call.seizure_count - 1, central.index, outcome, 0, 0, True, report)
             )
             self.finished_calls.append(call)
-        self._forget_unused(central)
+        self.server_list.forget_unused(central)
 
     def _remove_established(self, now, call):
         call.central.established.pop(call.id, None)
@@ -614,7 +544,7 @@
         self.named_calls.remove(call)
         self._finish_call(now, call)
 
-    def _cut_established(self, now, central, why, proved=True):
+    def cut_established(self, now, central, why, proved=True):
         """Ends all established calls of a server that was proved dead (`proved`) or could not be reached for too
         long."""
         central.proved_dead |= proved
@@ -763,9 +693,9 @@
                     self.send.to_server(link.key, sip.options(f"{self.probes_sent:016x}", 1))
                 elif action == "dead":
                     central.count("silent connections")
-                    self._drop_link(now, link)
+                    self.drop_link(now, link)
             if central.is_unreachable(now):
-                self._cut_established(now, central, "cannot be reached", proved=False)
+                self.cut_established(now, central, "cannot be reached", proved=False)
             if central.needs_connection(now):
                 self._open_link(now, central)
 
