--- a/thorndale/platform/border.py
+++ b/thorndale/platform/border.py
@@ -17,14 +17,14 @@
 from thorndale.platform import isup, outcomes
 from thorndale.platform.callers import CallerConnections
 from thorndale.platform.calls import Call, Seizure
-from thorndale.platform.description import is_description
 from thorndale.platform.ended_calls import EndedCalls
 from thorndale.platform.errors import PlatformError
 from thorndale.platform.feed import replay
-from thorndale.platform.links import AbandonedSetups, Link
+from thorndale.platform.links import AbandonedSetups
 from thorndale.platform.named_calls import NamedCalls
 from thorndale.platform.releases import Releases
 from thorndale.platform.sent_ids import SentIds
+from thorndale.platform.server_events import ServerEvents
 from thorndale.platform.server_list import ServerList
 from thorndale.platform.shutdown import Shutdown
 from thorndale.timers import Timers
@@ -49,6 +49,9 @@
         self.server_list = ServerList(self)
         self.centrals, self.by_index = self.server_list.centrals, self.server_list.by_index
         self.server_list_changed = self.server_list.server_list_changed
+        self.server_events = ServerEvents(self)
+        self.server_opened, self.server_lost = self.server_events.server_opened, self.server_events.server_lost
+        self.server_progress, self.server_signal = self.server_events.server_progress, self.server_events.server_signal
 
     # ---- start and server list ----
 
@@ -145,7 +148,7 @@
         call.index, call.earlier = self.decision_host.assign_index(call), self.sent_ids.find(call_id)
         self.calls[call_id] = connection.setups[call_id] = call
         self._increment("set-ups")
-        self._log_call(
+        self.log_call(
             call,
             "set-up",
             connection=connection.key,
@@ -172,7 +175,7 @@
         self.connections.mark_proven(connection)
         self.releases.caller_proven(now)
 
-    def _confirm_connection(self, now, connection):
+    def confirm_connection(self, now, connection):
         """Marks a connection as that of a caller for whom a central server has held a call."""
         if not connection.confirmed:
             connection.confirmed = True
@@ -213,22 +216,22 @@
         excess_call = self.named_calls.add(now, call, connection)
         if excess_call is not None:
             self._forget_named(now, excess_call, "too many calls are named")
-        self._log_call(call, "taken up", connection=connection.key, server=central.name)
+        self.log_call(call, "taken up", connection=connection.key, server=central.name)
         if not central.links:
-            self._open_link(now, central)
+            self.server_events.open_link(now, central)
 
     def _forget_named(self, now, call, why):
         """Stops holding a call that this process knows by its caller's word only. Nothing is sent: if its server
         releases it later, its caller hears that when it names the call again."""
         self._increment("namings given up")
-        self._log_call(call, "given up", server=call.central.name, why=why)
+        self.log_call(call, "given up", server=call.central.name, why=why)
         self._remove_established(now, call)
         self.server_list.forget_unused(call.central)
 
     def _named_while_held(self, now, connection, call):
         """Handles the naming of a call that this process holds: its release goes to the naming connection too."""
         state = "being set up" if call.central is None else "established"
-        self._log_call(call, "named while held", connection=connection.key, state=state)
+        self.log_call(call, "named while held", connection=connection.key, state=state)
         if call.central is not None:
             self.named_calls.named_again(now, call, connection)
             call.add_caller_connection(connection)
@@ -242,21 +245,23 @@
         call = self.calls.get(call_id)
         if call is not None and call.central is not None:
             self._increment("released by callers")
-            self._log_call(call, "released by its caller", connection=connection.key, cause=cause)
+            self.log_call(call, "released by its caller", connection=connection.key, cause=cause)
             central = call.central
             self._prove_connection(now, connection)
-            self._send_to_server(now, central, sip.bye(call.hex_id, 2, call.number, cause or outcomes.CLEARED))
-            self._end_established(now, call, io.COMPLETED, None, outcomes.CLEARED)
+            self.server_events.send_to_server(
+                now, central, sip.bye(call.hex_id, 2, call.number, cause or outcomes.CLEARED)
+            )
+            self.end_established(now, call, io.COMPLETED, None, outcomes.CLEARED)
         elif call_id in self.releases:
             self._prove_connection(now, connection)
 
     def _abandon(self, now, call, why):
         """Drops a call that is being set up, whose caller needs no further answer."""
-        self._log_call(call, "given up", why=why)
+        self.log_call(call, "given up", why=why)
         self._finish_call(now, call)
         self.decision_host.add_event(io.CallerAbandoned(call.index))
         if call.seizure is not None:
-            self._cancel_seizure(now, call.seizure, io.CANCELLED, True)
+            self.cancel_seizure(now, call.seizure, io.CANCELLED, True)
         self.finished_calls.append(call)
 
     def caller_left(self, now, key):
@@ -299,234 +304,20 @@
 
     # ---- central servers ----
 
-    def _open_link(self, now, central):
-        key = self.send.connect(central.host, central.port)
-        link = self.links[key] = Link(key, central, now)
-        central.links.append(link)
-        central.count("connections")
-        return link
-
-    def _send_to_server(self, now, central, data):
-        """Sends a message about an established call on any connection to its server, opening one if there is none."""
-        link = central.first_open_link() or (central.links[0] if central.links else None)
-        if link is None:
-            if central.state == io.GONE:
-                return
-            link = self._open_link(now, central)
-        if link.is_open:
-            self.send.to_server(link.key, data)
-        else:
-            central.unsent.append(data)
-
-    def _send_invite(self, now, seizure):
-        """Writes the INVITE of a seizure. A seizure that ends before this was certainly not handled by the server; one
-        that ends later may have been."""
-        call = seizure.call
-        if self.send.to_server(
-            seizure.link.key,
-            sip.invite(call.hex_id, 1, call.number, call.call_type.name, seizure.deadline - now, call.description),
-        ):
-            seizure.sent_at, call.forwarded = now, True
-            first_sent_at = call.earlier.sent_at_us if call.earlier else now
-            call.earlier = io.EarlierAttempt(seizure.central.index, first_sent_at)
-            seizure.central.count("sent")
-            self._log_call(call, "sent", server=seizure.central.name, link=seizure.link.key, attempt=seizure.number)
-
-    def withdraw_unsent(self, now, central):
-        """Withdraws unwritten set-ups from a server that is leaving or was restarted, so that the module can route them
-        to another one."""
-        for link in central.links:
-            for seizure in [s for s in link.in_flight.values() if s.sent_at is None]:
-                self._cancel_seizure(now, seizure, io.NOT_SENT, False)
-
-    def server_opened(self, now, key):
-        link = self.links.get(key)
-        if link is not None:
-            link.central.connection_opened(link, now)
-            self.send.log("server connection", did="opened", server=link.central.name, link=key)
-            while link.central.unsent:
-                self.send.to_server(key, link.central.unsent.popleft())
-            for seizure in link.in_flight.values():
-                self._send_invite(now, seizure)
-
-    def server_lost(self, now, key, kind):
-        """Handles the end of a connection to a central server; `kind` is 'refused', 'unreached', 'lost' or, for a
-        malformed stream, 'spoilt'."""
-        link = self.links.pop(key, None)
-        if link is not None:
-            self._link_ended(now, link, kind)
-
-    def drop_link(self, now, link):
-        """Closes a connection to a central server; set-ups in flight on it end as reset, or as not sent."""
-        if self.links.pop(link.key, None) is None:
-            return
-        self.send.end_server(link.key)
-        self._link_ended(now, link, "lost")
-
-    def _link_ended(self, now, link, kind):
-        central = link.central
-        self.send.log(
-            "server connection",
-            did=kind,
-            server=central.name,
-            link=link.key,
-            out=len(link.in_flight),
-            standing=len(central.established),
-        )
-        if link in central.links:
-            central.links.remove(link)
-        central.count(f"connections {kind}")
-        if kind == "lost":
-            central.last_lost_at = now
-        in_flight, link.in_flight = link.in_flight, {}
-        for seizure in in_flight.values():
-            if seizure.finished:
-                self.abandoned.remove(seizure)
-            else:
-                self._end_seizure(now, seizure, outcomes.connection_outcome(kind, seizure.sent_at is not None), None)
-        is_first = central.connection_failed(now)
-        if kind == "refused" and not any(other.is_open for other in central.links):
-            self.cut_established(now, central, "refuses connections")
-        if central.state == io.GONE:
-            self.server_list.server_gone(now, central)
-        elif (central.established or central.unsent) and kind in ("lost", "spoilt"):
-            # The server repeats a release that was lost with the old connection on the next one that opens.
-            central.replacement_needed_since = now
-            if is_first:
-                self._open_link(now, central)
-
-    def server_progress(self, now, key):
-        """Records that part of a message has arrived from a central server."""
-        link = self.links.get(key)
-        if link is not None:
-            link.partial_received(now)
-
-    def server_signal(self, now, key, signal):
-        link = self.links.get(key)
-        if link is None:
-            return
-        central = link.central
-        central.message_received(link, now)
-        if signal.status:
-            if signal.method == "INVITE":
-                self._invite_answered(now, link, signal)
-        elif signal.method == "BYE":
-            self._server_released(now, link, signal)
-        elif signal.method == "NOTIFY" and signal.report and central.uses_reports_of(link):
-            report = sip.report(signal.report, self.config.fields)
-            central.count("states")
-            self.decision_host.add_event(io.ServerReport(central.index, report, False))
-
-    def _invite_answered(self, now, link, signal):
-        if signal.status < 200:
-            return
-        seizure = link.in_flight.get(signal.call)
-        if seizure is None or seizure.sent_at is None:
-            link.central.count("answers of nothing open")
-            return
-        call, central = seizure.call, link.central
-        if signal.status < 300:
-            if not is_description(signal.body):
-                raise PlatformError("unreadable description in an answer", central.name)
-            del link.in_flight[signal.call]
-            self.abandoned.remove(seizure)
-            self.send.to_server(link.key, sip.ack(call.hex_id, signal.number, call.number))
-            if seizure.finished or call.finished:
-                central.count("late answers")
-                self._log_call(call, "late answer", server=central.name)
-                # A BYE would end a later seizure of the call at the same server.
-                if call.seizure is None or call.seizure.central is not central:
-                    self.send.to_server(link.key, sip.bye(call.hex_id, 2, call.number, outcomes.CLEARED))
-                if not seizure.finished:
-                    self._end_seizure(now, seizure, io.CANCELLED, None)
-                return
-            self._call_established(now, seizure, signal.body)
-            return
-        del link.in_flight[signal.call]
-        self.abandoned.remove(seizure)
-        self.send.to_server(link.key, sip.ack(call.hex_id, signal.number, call.number))
-        if not seizure.finished:
-            report = sip.report(signal.report, self.config.fields) if signal.report else None
-            self._end_seizure(now, seizure, outcomes.refusal_outcome(signal.status, signal.note), report)
-
-    def _call_established(self, now, seizure, body):
-        call, central = seizure.call, seizure.central
-        self._finish_seizure(seizure)
-        response_us = now - seizure.sent_at
-        central.count("stood")
-        central.response_times_us.append(response_us)
-        accepted = self.send.to_caller(call.connection.key, isup.encode(isup.ANSWER, call.id, (isup.DESCRIPTION, body)))
-        call.connection.setups.pop(call.id, None)
-        call.add_caller_connection(call.connection)
-        call.central, call.description = central, b""
-        central.established[call.id] = call
-        if accepted:
-            self._confirm_connection(now, call.connection)
-        self._log_call(
-            call,
-            "stood",
-            connection=call.connection.key,
-            server=central.name,
-            taken=accepted,
-            lag_ms=response_us // 1000,
-        )
-        self.decision_host.add_event(io.Answered(call.index, seizure.number, central.index, response_us))
-        if seizure.early_cause is not None:
-            self._release_to_caller(now, call, seizure.early_cause, None)
-        elif not accepted:  # its caller's connection is closing, so the call has no caller
-            self.send.to_server(seizure.link.key, sip.bye(call.hex_id, 2, call.number, outcomes.CLEARED))
-            self._end_established(now, call, io.COMPLETED, None, outcomes.CLEARED)
-
-    def _server_released(self, now, link, signal):
-        central = link.central
-        self.send.to_server(link.key, sip.ok_to(signal))
-        try:
-            call_id = bytes.fromhex(signal.call)
-        except ValueError:
-            call_id = b""
-        call = self.calls.get(call_id)
-        if call is None:
-            central.count("releases of nothing open")
-            self.send.log(
-                "call", call=signal.call, did="release of nothing open", server=central.name, cause=signal.cause
-            )
-            if self.ended_calls.find(call_id) is None:
-                self.ended_calls.record(now, call_id, central.name, signal.cause or outcomes.CUT)
-            return
-        report = sip.report(signal.report, self.config.fields) if signal.report else None
-        seizure = call.seizure
-        if call.central is central:
-            for connection in call.caller_connections:
-                self._confirm_connection(now, connection)
-            self._release_to_caller(now, call, signal.cause, report)
-        elif seizure is not None and seizure.central is central:
-            self._released_before_answer(now, seizure, signal.cause, report)
-
-    def _released_before_answer(self, now, seizure, cause, report):
-        """Handles a BYE for a call whose answer has not been read: the answer may still be unread on another
-        connection, and the call is then answered and released at once. If the call had an earlier seizure at this
-        server, the BYE may belong to that one and is ignored."""
-        if not outcomes.ends_established_call(cause):
-            seizure.link.in_flight.pop(seizure.call.hex_id, None)
-            self._end_seizure(now, seizure, io.RESET, report)
-        elif not seizure.is_repeat:
-            seizure.early_cause = cause
-            self._log_call(seizure.call, "released before its answer", server=seizure.central.name, cause=cause)
-
-    def _release_to_caller(self, now, call, cause, report):
+    def release_to_caller(self, now, call, cause, report):
         """Ends an established call that its server has released, and queues the release to its caller."""
         self._end_and_release(now, call, outcomes.release_outcome(cause), report, cause or outcomes.CUT)
 
     def _end_and_release(self, now, call, outcome, report, cause):
         connections = call.caller_connections
-        self._end_established(now, call, outcome, report, cause)
+        self.end_established(now, call, outcome, report, cause)
         self.releases.add(now, call.id, cause, connections)
 
-    def _end_established(self, now, call, outcome, report, cause):
+    def end_established(self, now, call, outcome, report, cause):
         """Removes an established call and reports its end to the module. `cause`: the one told to its caller, now and
         if the call is named again."""
         central = call.central
-        self._log_call(call, "over", server=central.name, outcome=outcomes.NAMES[outcome])
+        self.log_call(call, "over", server=central.name, outcome=outcomes.NAMES[outcome])
         self.ended_calls.record(now, call.id, central.name, cause)
         central.count("completed" if outcome == io.COMPLETED else "cut")
         self._remove_established(now, call)
@@ -557,21 +348,21 @@
 
     # ---- seizures ----
 
-    def _finish_seizure(self, seizure):
+    def finish_seizure(self, seizure):
         """Marks a seizure as finished; the calling method reports its end, once."""
         seizure.finished = True
         self.timers.cancel(seizure.timer)
         seizure.timer = None
         seizure.call.seizure = None
 
-    def _end_seizure(self, now, seizure, outcome, report, final=False):
-        self._finish_seizure(seizure)
+    def end_seizure(self, now, seizure, outcome, report, final=False):
+        self.finish_seizure(seizure)
         call, central = seizure.call, seizure.central
         call.last_outcome, final = outcome, final or call.finished
         if call.finished:
             self.finished_calls.append(call)
         central.count(outcomes.NAMES[outcome])
-        self._log_call(
+        self.log_call(
             call, "attempt ended", server=central.name, outcome=outcomes.NAMES[outcome], attempt=seizure.number
         )
         started_at = seizure.requested_at if seizure.sent_at is None else seizure.sent_at
@@ -579,7 +370,7 @@
             io.SeizureEnded(call.index, seizure.number, central.index, outcome, 0, now - started_at, final, report)
         )
 
-    def _cancel_seizure(self, now, seizure, outcome, final):
+    def cancel_seizure(self, now, seizure, outcome, final):
         """Withdraws a seizure: sends a CANCEL if its INVITE was written, else the INVITE is never written."""
         link, call = seizure.link, seizure.call
         if seizure.sent_at is None:
@@ -588,11 +379,11 @@
         else:
             self.send.to_server(link.key, sip.cancel(call.hex_id, 1, call.number))
             self.abandoned.add(now, seizure)
-        self._end_seizure(now, seizure, outcome, None, final)
+        self.end_seizure(now, seizure, outcome, None, final)
 
     def timed_out(self, now, seizure):
         if not seizure.finished:
-            self._cancel_seizure(now, seizure, io.TIMED_OUT, False)
+            self.cancel_seizure(now, seizure, io.TIMED_OUT, False)
 
     # ---- the module ----
 
@@ -634,7 +425,7 @@
             self._start_seizure(now, call, action)
         elif action_type is io.Cancel:
             if call.seizure is not None and call.seizure.number == action.seizure:
-                self._cancel_seizure(now, call.seizure, io.CANCELLED, True)
+                self.cancel_seizure(now, call.seizure, io.CANCELLED, True)
         elif action_type is io.Reject:
             self._refuse_call(now, call, outcomes.REJECTED, action.reason, action.comeback_us)
             self._increment("rejected")
@@ -648,7 +439,7 @@
         key = call.connection.key
         self._finish_call(now, call)
         accepted = self.send.to_caller(key, isup.release(call.id, cause, comeback_us))
-        self._log_call(
+        self.log_call(
             call, "refused", connection=key, cause=cause, why=why, taken=accepted, attempts=call.seizure_count
         )
         self.finished_calls.append(call)
@@ -659,13 +450,13 @@
         call.seizure_count += 1
         link, open_another = central.choose(call.hex_id)
         if open_another:
-            opened = self._open_link(now, central)
+            opened = self.server_events.open_link(now, central)
             link = link or opened
         seizure.link = link
         link.in_flight[call.hex_id] = seizure
         seizure.timer = self.timers.set(seizure.deadline, seizure, "late")
         if link.is_open:
-            self._send_invite(now, seizure)
+            self.server_events.send_invite(now, seizure)
 
     def _with_server_name(self, text):
         """A log line of the module with the server's id in place of its index."""
@@ -693,15 +484,15 @@
                     self.send.to_server(link.key, sip.options(f"{self.probes_sent:016x}", 1))
                 elif action == "dead":
                     central.count("silent connections")
-                    self.drop_link(now, link)
+                    self.server_events.drop_link(now, link)
             if central.is_unreachable(now):
                 self.cut_established(now, central, "cannot be reached", proved=False)
             if central.needs_connection(now):
-                self._open_link(now, central)
+                self.server_events.open_link(now, central)
 
     # ---- counters and log ----
 
-    def _log_call(self, call, did, **fields):
+    def log_call(self, call, did, **fields):
         """Logs one step of a call under its id."""
         self.send.log("call", call=call.hex_id, did=did, **fields)
 
--- a/thorndale/platform/server_list.py
+++ b/thorndale/platform/server_list.py
@@ -29,7 +29,7 @@
         for central in displaced_servers(self.centrals.values()):
             self.send.log("server displaced", server=central.name, host=central.host, port=central.port)
             central.state, central.displaced = io.GONE, True
-            self.border.withdraw_unsent(now, central)
+            self.border.server_events.withdraw_unsent(now, central)
             changed[central] = None
         if changed or whole:
             servers = tuple(io.Server(c.index, c.pool, c.state, c.started_us, c.zone) for c in changed)
@@ -50,7 +50,7 @@
     def _update_server(self, now, central, entry):
         started_us = max(1, entry.started_ms * 1000 - self.border.offset) if entry.started_ms else 0
         if entry.state != io.SERVING or central.started_us != started_us:
-            self.border.withdraw_unsent(now, central)
+            self.border.server_events.withdraw_unsent(now, central)
         if central.started_us != started_us and central.state >= 0 and entry.state == io.SERVING:
             self.border.cut_established(now, central, "restarted")
         moved = (central.host, central.port) != (entry.host, entry.port)
@@ -59,24 +59,24 @@
         if moved:  # only now, so that the links for established calls are opened to the new address
             central.address_since = self.list_events
             for link in list(central.links):
-                self.border.drop_link(now, link)
+                self.border.server_events.drop_link(now, link)
 
     def _mark_unlisted(self, now, listed_names):
         """A server that is missing in a whole list is gone."""
         for central in list(self.centrals.values()):
             if central.name not in listed_names and (central.state != io.GONE or central.displaced):
                 central.state, central.displaced = io.GONE, False
-                self.border.withdraw_unsent(now, central)
+                self.border.server_events.withdraw_unsent(now, central)
 
     def server_gone(self, now, central):
         """Handles a server that the list reports as gone. Its established calls continue while a connection to it is
         open. No new connection is opened, since another server may have its address by now. One that was opened after
         a loss may lead to that other server, which would never release these calls, so it is closed."""
         for link in central.links_after_loss():
-            self.border.drop_link(now, link)
+            self.border.server_events.drop_link(now, link)
         if not any(link.is_open for link in central.links):
             for link in list(central.links):
-                self.border.drop_link(now, link)
+                self.border.server_events.drop_link(now, link)
             self.border.cut_established(now, central, "gone")
             self.forget_unused(central)
 
