--- a/tests/platform/test_client_state.py
+++ b/tests/platform/test_client_state.py
@@ -5,7 +5,7 @@
 
 from thorndale import interface as io
 from thorndale.platform import isup
-from thorndale.platform.border import MAX_BATCH_EVENTS
+from thorndale.platform.caller_events import MAX_BATCH_EVENTS
 
 MEMORY_MB = 32  # the least that the platform gives; 3,200 items of each kind
 
--- a/thorndale/platform/server_events.py
+++ b/thorndale/platform/server_events.py
@@ -182,7 +182,7 @@
         call.central, call.description = central, b""
         central.established[call.id] = call
         if accepted:
-            self.border.confirm_connection(now, call.connection)
+            self.border.caller_events.confirm_connection(now, call.connection)
         self.border.log_call(
             call,
             "stood",
@@ -218,7 +218,7 @@
         seizure = call.seizure
         if call.central is central:
             for connection in call.caller_connections:
-                self.border.confirm_connection(now, connection)
+                self.border.caller_events.confirm_connection(now, connection)
             self.border.release_to_caller(now, call, signal.cause, report)
         elif seizure is not None and seizure.central is central:
             self._released_before_answer(now, seizure, signal.cause, report)
